Thin whole path: gateway, sidecar, stand-ins and demo

Change: one binary with gateway and sidecar, links by ZeroMQ with CURVE, catalogue in the platform's table service, keys, leases, membership, moved-token limits, routing, delivery and usage wired into both processes; stand-ins for platform, engine and plain service. Conclusion: the path runs; nothing is proved under failure yet.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds with warnings as errors, checks format and lint, and runs all tests with fixed seeds.
+#   --sanitize  run the tests under AddressSanitizer and UndefinedBehaviorSanitizer
+#   --thread    run the tests under ThreadSanitizer
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/setup.sh
+
+build=build
+options=()
+checks=yes
+for argument in "$@"; do
+    case $argument in
+    --sanitize)
+        build=build-sanitize
+        options=(-DCHESTNUTCOVE_SANITIZE=address,undefined)
+        checks=no
+        ;;
+    --thread)
+        build=build-thread
+        options=(-DCHESTNUTCOVE_SANITIZE=thread)
+        checks=no
+        ;;
+    *)
+        echo "usage: scripts/test.sh [--sanitize | --thread]" >&2
+        exit 2
+        ;;
+    esac
+done
+
+cmake -S . -B "$build" -G Ninja -DCHESTNUTCOVE_WERROR=ON "${options[@]}" >/dev/null
+cmake --build "$build"
+
+sources() {
+    find src tests bench -name '*.h' -o -name '*.cpp' | grep -v '\.pb\.' | sort
+}
+if [ "$checks" = yes ]; then
+    sources | xargs clang-format --dry-run --Werror
+    sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
+fi
+
+export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
+ctest --test-dir "$build" --output-on-failure --timeout 300 --parallel 4
--- /dev/null
+++ b/src/chestnutcove/peerlinks.cpp
@@ -0,0 +1,199 @@
+#include "peerlinks.h"
+
+#include <algorithm>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr std::chrono::seconds ConnectPatience { 1 };
+constexpr std::size_t MaxAsked = 64;
+
+}
+
+PeerLinks::PeerLinks(
+    LinkContext &links, const Log &log, GatewayMember self, std::string gatewayKey, std::vector<std::string> seeds, Handlers handlers)
+    : links_(links)
+    , log_(log)
+    , self_(std::move(self))
+    , gatewayKey_(std::move(gatewayKey))
+    , seeds_(std::move(seeds))
+    , handlers_(std::move(handlers))
+    , server_(links, [this](const LinkServer::PeerId &peer, const wire::Envelope &message) { serve(peer, message); })
+{
+}
+
+absl::Status PeerLinks::listen(const std::string &address, std::uint16_t port)
+{
+    return server_.bind(address, port);
+}
+
+std::uint16_t PeerLinks::port() const
+{
+    return server_.port();
+}
+
+void PeerLinks::setSelf(const GatewayMember &self)
+{
+    self_ = self;
+    for (const std::string &seed : seeds_) {
+        connect(seed);
+    }
+}
+
+void PeerLinks::connect(const std::string &address)
+{
+    if (address == self_.address || peers_.contains(address)) {
+        return;
+    }
+    Peer peer;
+    peer.connectedAt = std::chrono::steady_clock::now();
+    peer.client = std::make_unique<LinkClient>(
+        links_, address, gatewayKey_, [this, address](const wire::Envelope &message) { receive(address, message); });
+    peers_.emplace(address, std::move(peer));
+}
+
+void PeerLinks::setMembers(const MembershipRow &row)
+{
+    for (auto &[address, peer] : peers_) {
+        peer.wanted = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
+    }
+    for (const GatewayMember &member : row.members) {
+        connect(member.address);
+        const auto it = peers_.find(member.address);
+        if (it != peers_.end()) {
+            it->second.wanted = true;
+            it->second.name = member.identity.name;
+        }
+    }
+}
+
+void PeerLinks::beat(TimePoint now, Duration timeout)
+{
+    std::erase_if(peers_, [](const auto &item) { return !item.second.wanted; });
+    wire::Envelope message;
+    *message.mutable_peer_state() = handlers_.ownState();
+    for (auto &[address, peer] : peers_) {
+        message.mutable_peer_state()->set_number(++peer.numbers);
+        const bool sent = peer.client->send(message);
+        if (sent) {
+            peer.asked.emplace_back(peer.numbers, now);
+        }
+        if (peer.asked.size() > MaxAsked) {
+            peer.asked.pop_front();
+        }
+        const bool silent = peer.alive && (!sent || now - peer.lastHeard > timeout);
+        const bool unreachable = !peer.alive && now - peer.connectedAt > ConnectPatience;
+        if (!silent && !unreachable) {
+            continue;
+        }
+        if (silent) {
+            log_.warning("link to gateway lost", { { "gateway", peer.name } });
+        }
+        peer.alive = false;
+        peer.asked.clear();
+        peer.connectedAt = now;
+        peer.client->reconnect();
+    }
+}
+
+void PeerLinks::serve(const LinkServer::PeerId &peer, const wire::Envelope &message)
+{
+    const auto reply = [this, peer](const wire::Envelope &answer) { server_.send(peer, answer); };
+    if (message.body_case() != wire::Envelope::kPeerState) {
+        handlers_.onMessage(message, reply);
+        return;
+    }
+    handlers_.onState(message.peer_state());
+    wire::Envelope answer;
+    *answer.mutable_peer_state() = handlers_.ownState();
+    answer.mutable_peer_state()->set_reply_to(message.peer_state().number());
+    reply(answer);
+}
+
+void PeerLinks::receive(const std::string &address, const wire::Envelope &message)
+{
+    const auto it = peers_.find(address);
+    if (it == peers_.end()) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    it->second.lastHeard = now;
+    if (message.body_case() == wire::Envelope::kPeerState) {
+        onReply(it->second, message.peer_state(), now);
+        return;
+    }
+    handlers_.onMessage(message, [this, address](const wire::Envelope &answer) {
+        const auto peer = peers_.find(address);
+        if (peer != peers_.end()) {
+            peer->second.client->send(answer);
+        }
+    });
+}
+
+void PeerLinks::onReply(Peer &peer, const wire::PeerState &state, TimePoint now)
+{
+    (void)now;
+    if (!peer.alive) {
+        log_.info("link to gateway up", { { "gateway", state.name() } });
+    }
+    peer.alive = true;
+    peer.name = state.name();
+    peer.catalogueVersion = state.catalogue_version();
+    handlers_.onState(state);
+    while (!peer.asked.empty() && peer.asked.front().first < state.reply_to()) {
+        peer.asked.pop_front();
+    }
+    if (peer.asked.empty() || peer.asked.front().first != state.reply_to()) {
+        return;
+    }
+    PeerReport report;
+    report.name = state.name();
+    report.incarnation = state.incarnation();
+    report.askedAt = peer.asked.front().second;
+    report.membershipEpoch = state.membership_epoch();
+    report.catalogueVersion = state.catalogue_version();
+    report.storeDown = state.store_down();
+    report.hasProof = state.has_proof();
+    report.proofAge = Milliseconds(state.proof_age_ms());
+    report.proof = { state.proof_version(), state.proof_epoch() };
+    handlers_.onReport(report);
+}
+
+bool PeerLinks::send(const std::string &name, const wire::Envelope &message)
+{
+    for (auto &[address, peer] : peers_) {
+        if (peer.name == name && peer.alive) {
+            return peer.client->send(message);
+        }
+    }
+    return false;
+}
+
+bool PeerLinks::sendToAny(const wire::Envelope &message)
+{
+    return std::any_of(
+        peers_.begin(), peers_.end(), [&message](auto &item) { return item.second.alive && item.second.client->send(message); });
+}
+
+std::map<std::string, std::uint64_t> PeerLinks::catalogueVersions() const
+{
+    std::map<std::string, std::uint64_t> result;
+    for (const auto &[address, peer] : peers_) {
+        if (peer.alive) {
+            result[peer.name] = peer.catalogueVersion;
+        }
+    }
+    return result;
+}
+
+std::vector<PeerLinks::PeerView> PeerLinks::views() const
+{
+    std::vector<PeerView> result;
+    for (const auto &[address, peer] : peers_) {
+        result.push_back({ peer.name, address, peer.alive, peer.lastHeard });
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/libauthority/leasekeeper.cpp
@@ -0,0 +1,139 @@
+#include "leasekeeper.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Chestnutcove {
+
+std::string LeaseRow::toText(const std::string &attempt) const
+{
+    return nlohmann::json {
+        { "holder", holder }, { "incarnation", incarnation }, { "epoch", epoch }, { "beat", beat }, { "attempt", attempt }
+    }.dump();
+}
+
+absl::StatusOr<LeaseRow> LeaseRow::fromText(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("epoch") || !json["epoch"].is_number_unsigned()) {
+        return absl::DataLossError("unreadable lease row");
+    }
+    return LeaseRow { json.value("holder", ""),
+                      json.value("incarnation", std::uint64_t { 0 }),
+                      json["epoch"].get<std::uint64_t>(),
+                      json.value("beat", std::uint64_t { 0 }) };
+}
+
+LeaseKeeper::LeaseKeeper(std::string holder, std::uint64_t incarnation, LeaseOptions options)
+    : holder_(std::move(holder))
+    , incarnation_(incarnation)
+    , options_(options)
+{
+}
+
+bool LeaseKeeper::isOurs() const
+{
+    return row_.holder == holder_ && row_.incarnation == incarnation_;
+}
+
+void LeaseKeeper::observed(const std::optional<LeaseRow> &row, std::uint64_t version, TimePoint now)
+{
+    if (pending_ || (known_ && version <= version_)) {
+        return;
+    }
+    known_ = true;
+    version_ = version;
+    const LeaseRow read = row.value_or(LeaseRow {});
+    if (read != row_) {
+        row_ = read;
+        unchangedSince_ = now;
+    }
+    if (!isOurs()) {
+        validUntil_ = {};
+    }
+}
+
+std::optional<LeaseWrite> LeaseKeeper::poll(TimePoint now)
+{
+    if (!known_ || pending_ || released_) {
+        return std::nullopt;
+    }
+    LeaseWrite write { row_, version_ };
+    if (isOurs() && isValid(now)) {
+        if (now < renewAt_) {
+            return std::nullopt;
+        }
+        ++write.row.beat;
+    } else {
+        const bool vacant = row_.holder.empty();
+        if (!vacant && now - unchangedSince_ < options_.duration) {
+            return std::nullopt;
+        }
+        // A lease of ours that lapsed is acquired anew: someone may have acted meanwhile.
+        write.row = LeaseRow { holder_, incarnation_, row_.epoch + 1, 0 };
+    }
+    pending_ = Pending { write, now };
+    return write;
+}
+
+void LeaseKeeper::committed(TimePoint now)
+{
+    if (!pending_) {
+        return;
+    }
+    const Pending pending = *std::exchange(pending_, std::nullopt);
+    const bool acquired = pending.write.row.epoch != row_.epoch;
+    row_ = pending.write.row;
+    known_ = false;
+    unchangedSince_ = now;
+    if (released_) {
+        validUntil_ = {};
+        return;
+    }
+    validUntil_ = pending.sentAt + options_.duration - options_.margin;
+    renewAt_ = pending.sentAt + options_.renewEvery;
+    if (acquired) {
+        acquiredAt_ = now;
+    }
+}
+
+void LeaseKeeper::rejected()
+{
+    // What is in the row now is not known; the next read tells.
+    pending_.reset();
+    known_ = false;
+    validUntil_ = {};
+}
+
+void LeaseKeeper::unknown()
+{
+    // If the write has an effect, it is the row's next version; the next read shows it. Validity is not extended.
+    pending_.reset();
+    known_ = false;
+}
+
+std::optional<LeaseWrite> LeaseKeeper::release(TimePoint now)
+{
+    const bool held = isOurs() && isValid(now) && !pending_;
+    released_ = true;
+    validUntil_ = {};
+    if (!held) {
+        return std::nullopt;
+    }
+    LeaseWrite write { LeaseRow { "", 0, row_.epoch, row_.beat + 1 }, version_ };
+    pending_ = Pending { write, now };
+    return write;
+}
+
+bool LeaseKeeper::isValid(TimePoint now) const
+{
+    return now < validUntil_;
+}
+
+bool LeaseKeeper::mayAct(TimePoint now) const
+{
+    return isValid(now) && now - acquiredAt_ >= options_.settle;
+}
+
+}
--- /dev/null
+++ b/src/libhttp/httpclient.cpp
@@ -0,0 +1,258 @@
+#include "httpclient.h"
+
+#include <asio/post.hpp>
+#include <curl/curl.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr long ConnectTimeoutMs = 1000;
+constexpr int PollTimeoutMs = 1000;
+constexpr int FirstSuccessCode = 200;
+constexpr int LastSuccessCode = 299;
+
+struct Transfer
+{
+    HttpCall call;
+    HttpClient::DataHandler onData;
+    HttpClient::DoneHandler onDone;
+    asio::any_io_executor executor;
+    CURL *easy = nullptr;
+    curl_slist *headers = nullptr;
+    std::string body;
+};
+
+std::size_t receive(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    const std::size_t bytes = size * count;
+    long code = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &code);
+    const bool success = code >= FirstSuccessCode && code <= LastSuccessCode;
+    if (transfer->onData && success) {
+        asio::post(transfer->executor,
+                   [handler = transfer->onData, text = std::string(data, bytes)]() mutable { handler(std::move(text)); });
+    } else {
+        transfer->body.append(data, bytes);
+    }
+    return bytes;
+}
+
+absl::Status toStatus(CURLcode code, const Transfer &transfer)
+{
+    if (code == CURLE_OK) {
+        return absl::OkStatus();
+    }
+    curl_off_t sent = 0;
+    long requestBytes = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(transfer.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    const std::string text = curl_easy_strerror(code);
+    if (requestBytes == 0 && sent == 0) {
+        return absl::UnavailableError(text);
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? absl::DeadlineExceededError(text) : absl::UnknownError(text);
+}
+
+}
+
+class HttpClient::Impl
+{
+public:
+    Impl(asio::any_io_executor executor, std::chrono::seconds maxConnectionAge)
+        : executor_(std::move(executor))
+        , maxAge_(maxConnectionAge)
+        , multi_(curl_multi_init())
+    {
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        stopping_ = true;
+        curl_multi_wakeup(multi_);
+        thread_.join();
+        for (auto &[id, transfer] : active_) {
+            curl_multi_remove_handle(multi_, transfer->easy);
+            release(*transfer);
+        }
+        curl_multi_cleanup(multi_);
+    }
+
+    CallId add(HttpCall call, DataHandler onData, DoneHandler onDone)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->onData = std::move(onData);
+        transfer->onDone = std::move(onDone);
+        transfer->executor = executor_;
+        const CallId id = ++lastId_;
+        {
+            const std::lock_guard lock(mutex_);
+            added_.emplace_back(id, std::move(transfer));
+        }
+        curl_multi_wakeup(multi_);
+        return id;
+    }
+
+    void cancel(CallId id)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            cancelled_.push_back(id);
+        }
+        curl_multi_wakeup(multi_);
+    }
+
+private:
+    void run()
+    {
+        while (!stopping_) {
+            takeCommands();
+            int running = 0;
+            curl_multi_perform(multi_, &running);
+            finishTransfers();
+            curl_multi_poll(multi_, nullptr, 0, PollTimeoutMs, nullptr);
+        }
+    }
+
+    void takeCommands()
+    {
+        std::vector<std::pair<CallId, std::unique_ptr<Transfer>>> added;
+        std::vector<CallId> cancelled;
+        {
+            const std::lock_guard lock(mutex_);
+            added.swap(added_);
+            cancelled.swap(cancelled_);
+        }
+        for (auto &[id, transfer] : added) {
+            begin(id, std::move(transfer));
+        }
+        for (const CallId id : cancelled) {
+            const auto it = active_.find(id);
+            if (it == active_.end()) {
+                continue;
+            }
+            curl_multi_remove_handle(multi_, it->second->easy);
+            post(*it->second, absl::CancelledError("cancelled by the caller"), 0);
+            release(*it->second);
+            active_.erase(it);
+        }
+    }
+
+    void begin(CallId id, std::unique_ptr<Transfer> transfer)
+    {
+        CURL *easy = curl_easy_init();
+        transfer->easy = easy;
+        const HttpCall &call = transfer->call;
+        for (const auto &[name, value] : call.headers) {
+            transfer->headers = curl_slist_append(transfer->headers, (name + ": " + value).c_str());
+        }
+        transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+        curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(maxAge_.count()));
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+        if (call.silenceTimeout.count() > 0) {
+            curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+            const auto seconds = std::chrono::ceil<std::chrono::seconds>(call.silenceTimeout);
+            curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, static_cast<long>(seconds.count()));
+        }
+        if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+        }
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, receive);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, reinterpret_cast<char *>(id)); // NOLINT(performance-no-int-to-ptr)
+        curl_multi_add_handle(multi_, easy);
+        active_.emplace(id, std::move(transfer));
+    }
+
+    void finishTransfers()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            char *privateData = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &privateData);
+            const auto it = active_.find(reinterpret_cast<CallId>(privateData));
+            long code = 0;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &code);
+            const CURLcode result = message->data.result;
+            curl_multi_remove_handle(multi_, message->easy_handle);
+            post(*it->second, toStatus(result, *it->second), static_cast<int>(code));
+            release(*it->second);
+            active_.erase(it);
+        }
+    }
+
+    static void post(Transfer &transfer, absl::Status status, int code)
+    {
+        const char *contentType = nullptr;
+        curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_TYPE, &contentType);
+        HttpResult result { std::move(status), code, contentType == nullptr ? "" : contentType, std::move(transfer.body) };
+        asio::post(transfer.executor,
+                   [handler = std::move(transfer.onDone), result = std::move(result)]() mutable { handler(std::move(result)); });
+    }
+
+    static void release(Transfer &transfer)
+    {
+        curl_slist_free_all(transfer.headers);
+        curl_easy_cleanup(transfer.easy);
+    }
+
+    asio::any_io_executor executor_;
+    std::chrono::seconds maxAge_;
+    CURLM *multi_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<CallId> lastId_ = 0;
+    std::mutex mutex_;
+    /** Guarded by mutex_. */
+    std::vector<std::pair<CallId, std::unique_ptr<Transfer>>> added_;
+    /** Guarded by mutex_. */
+    std::vector<CallId> cancelled_;
+    /** Used by the thread alone. */
+    std::map<CallId, std::unique_ptr<Transfer>> active_;
+    std::thread thread_;
+};
+
+HttpClient::HttpClient(asio::any_io_executor executor, std::chrono::seconds maxConnectionAge)
+    : impl_(std::make_unique<Impl>(std::move(executor), maxConnectionAge))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::CallId HttpClient::send(HttpCall call, DoneHandler onDone)
+{
+    return impl_->add(std::move(call), nullptr, std::move(onDone));
+}
+
+HttpClient::CallId HttpClient::stream(HttpCall call, DataHandler onData, DoneHandler onDone)
+{
+    return impl_->add(std::move(call), std::move(onData), std::move(onDone));
+}
+
+void HttpClient::cancel(CallId id)
+{
+    impl_->cancel(id);
+}
+
+}
--- /dev/null
+++ b/src/librouting/router.cpp
@@ -0,0 +1,240 @@
+#include "router.h"
+
+#include "promptblocks.h"
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Chestnutcove {
+
+namespace {
+
+/** Cached blocks that are remembered for each endpoint. */
+constexpr std::size_t MaxBlocks = 65536;
+
+struct Candidate
+{
+    const Router::Endpoint *endpoint = nullptr;
+    Duration predicted {};
+    std::size_t cachedBlocks = 0;
+};
+
+std::string affinityKey(const RouteQuery &query)
+{
+    return query.blocks.empty() ? std::string() : query.serves + "/" + std::to_string(query.blocks.front());
+}
+
+}
+
+Router::Router(RouterOptions options)
+    : options_(std::move(options))
+{
+}
+
+void Router::putEndpoint(const EndpointEntry &entry)
+{
+    const auto known = endpoints_.find(entry.name);
+    if (known != endpoints_.end() && known->second.entry.serves != entry.serves) {
+        removeEndpoint(entry.name);
+    }
+    const auto [it, inserted] = endpoints_.try_emplace(entry.name);
+    it->second.entry = entry;
+    if (inserted) {
+        byServes_[entry.serves].push_back(&it->second);
+    }
+}
+
+void Router::removeEndpoint(const std::string &name)
+{
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end()) {
+        return;
+    }
+    std::erase(byServes_[it->second.entry.serves], &it->second);
+    endpoints_.erase(it);
+}
+
+void Router::report(const std::string &name, const EndpointLoad &load, std::uint64_t dispatchesIncluded, TimePoint now)
+{
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end()) {
+        return;
+    }
+    Endpoint &endpoint = it->second;
+    endpoint.load = load;
+    endpoint.reported = true;
+    endpoint.reportedAt = now;
+    std::erase_if(endpoint.uncounted, [dispatchesIncluded](const auto &own) { return own.number <= dispatchesIncluded; });
+}
+
+void Router::cacheChanged(const std::string &name,
+                          bool reset,
+                          const std::vector<std::uint64_t> &stored,
+                          const std::vector<std::uint64_t> &evicted)
+{
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end()) {
+        return;
+    }
+    auto &known = it->second.blocks;
+    if (reset || known.size() + stored.size() > MaxBlocks) {
+        known.clear();
+    }
+    known.insert(stored.begin(), stored.end());
+    for (const std::uint64_t block : evicted) {
+        known.erase(block);
+    }
+}
+
+void Router::linkLost(const std::string &name)
+{
+    const auto it = endpoints_.find(name);
+    if (it != endpoints_.end()) {
+        it->second.reported = false;
+        it->second.uncounted.clear();
+    }
+}
+
+bool Router::isCandidate(const Endpoint &endpoint, const RouteQuery &query, TimePoint now) const
+{
+    if (!endpoint.reported || now - endpoint.reportedAt > options_.reportTimeout || !endpoint.load.healthy) {
+        return false;
+    }
+    if (endpoint.entry.draining || endpoint.load.draining || endpoint.probationUntil > now) {
+        return false;
+    }
+    return std::find(query.excluded.begin(), query.excluded.end(), endpoint.entry.name) == query.excluded.end();
+}
+
+Duration Router::predict(const Endpoint &endpoint, const RouteQuery &query, std::size_t cachedBlocks) const
+{
+    const EndpointLoad &load = endpoint.load;
+    const double slots = static_cast<double>(std::max<std::uint64_t>(load.slots, 1));
+    const double inFlight = static_cast<double>(load.running + load.queued + endpoint.uncounted.size());
+    double seconds = 0;
+    if (inFlight >= slots) {
+        seconds = load.queuedSeconds + load.runningSeconds / std::max(static_cast<double>(load.running), 1.0) / 2;
+        for (const auto &own : endpoint.uncounted) {
+            seconds += own.seconds;
+        }
+    } else {
+        // Spreads work among endpoints that are not full: a fuller batch answers slower.
+        seconds = inFlight / slots / std::max(load.decodeTokensPerSecond, 1.0);
+    }
+    const double cachedTokens = static_cast<double>(cachedBlocks * TokensPerBlock);
+    seconds += std::max(0.0, query.promptTokens - cachedTokens) / std::max(load.prefillTokensPerSecond, 1.0);
+    Duration predicted = fromSeconds(seconds);
+    if (endpoint.entry.dataCentre != options_.dataCentre) {
+        predicted += options_.otherDataCentrePenalty;
+    }
+    return predicted;
+}
+
+std::size_t Router::cachedBlocks(const Endpoint &endpoint, const std::vector<std::uint64_t> &blocks) const
+{
+    // Whoever caches a block caches those before it, so a binary search finds the longest cached prefix.
+    std::size_t low = 0;
+    std::size_t high = endpoint.blocks.empty() ? 0 : blocks.size();
+    while (low < high) {
+        const std::size_t middle = (low + high + 1) / 2;
+        if (endpoint.blocks.contains(blocks[middle - 1])) {
+            low = middle;
+        } else {
+            high = middle - 1;
+        }
+    }
+    return low;
+}
+
+std::optional<RouteChoice> Router::choose(const RouteQuery &query, TimePoint now)
+{
+    const auto group = byServes_.find(query.serves);
+    if (group == byServes_.end()) {
+        return std::nullopt;
+    }
+    const std::string key = affinityKey(query);
+    Candidate best;
+    Candidate affine;
+    std::uint64_t affineScore = 0;
+    for (const Endpoint *endpoint : group->second) {
+        if (!isCandidate(*endpoint, query, now)) {
+            continue;
+        }
+        const std::size_t cached = cachedBlocks(*endpoint, query.blocks);
+        const Candidate candidate { endpoint, predict(*endpoint, query, cached), cached };
+        if (best.endpoint == nullptr || candidate.predicted < best.predicted) {
+            best = candidate;
+        }
+        if (key.empty()) {
+            continue;
+        }
+        const std::uint64_t score = rendezvousScore(key, endpoint->entry.name);
+        if (affine.endpoint == nullptr || score > affineScore) {
+            affine = candidate;
+            affineScore = score;
+        }
+    }
+    if (best.endpoint == nullptr) {
+        return std::nullopt;
+    }
+    const auto bound = std::chrono::duration_cast<Duration>(best.predicted * options_.affinityFactor) + options_.affinitySlack;
+    const bool firstSight = best.cachedBlocks == 0 && affine.endpoint != nullptr;
+    if (firstSight && affine.endpoint != best.endpoint && affine.predicted <= bound) {
+        return RouteChoice { affine.endpoint->entry.name, affine.predicted, affine.cachedBlocks, "prefix affinity within the load bound" };
+    }
+    return RouteChoice { best.endpoint->entry.name,
+                         best.predicted,
+                         best.cachedBlocks,
+                         best.cachedBlocks > 0 ? "shortest predicted time, prefix cached" : "shortest predicted time" };
+}
+
+std::uint64_t Router::dispatched(const std::string &name, const RouteQuery &query, TimePoint now)
+{
+    (void)now;
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end()) {
+        return 0;
+    }
+    Endpoint &endpoint = it->second;
+    const EndpointLoad &load = endpoint.load;
+    const double decodeTogether = load.decodeTokensPerSecond * static_cast<double>(std::max<std::uint64_t>(load.slots, 1));
+    const double seconds
+        = query.promptTokens / std::max(load.prefillTokensPerSecond, 1.0) + query.outputTokens / std::max(decodeTogether, 1.0);
+    endpoint.uncounted.push_back({ ++endpoint.dispatches, seconds });
+    return endpoint.dispatches;
+}
+
+void Router::succeeded(const std::string &name)
+{
+    const auto it = endpoints_.find(name);
+    if (it != endpoints_.end()) {
+        it->second.failures = 0;
+    }
+}
+
+void Router::failed(const std::string &name, TimePoint now)
+{
+    const auto it = endpoints_.find(name);
+    if (it == endpoints_.end()) {
+        return;
+    }
+    if (++it->second.failures >= options_.ejectAfter) {
+        // One more failure after the probation ejects it again.
+        it->second.failures = options_.ejectAfter - 1;
+        it->second.probationUntil = now + options_.probation;
+    }
+}
+
+std::size_t Router::candidates(const std::string &serves, TimePoint now) const
+{
+    const auto group = byServes_.find(serves);
+    if (group == byServes_.end()) {
+        return 0;
+    }
+    const RouteQuery query { serves, 0, 0, {}, {} };
+    return static_cast<std::size_t>(std::count_if(
+        group->second.begin(), group->second.end(), [&](const Endpoint *endpoint) { return isCandidate(*endpoint, query, now); }));
+}
+
+}
--- /dev/null
+++ b/src/libusage/usageledger.cpp
@@ -0,0 +1,134 @@
+#include "usageledger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chestnutcove {
+
+UsageFigures &UsageFigures::operator+=(const UsageFigures &other)
+{
+    requests += other.requests;
+    promptTokens += other.promptTokens;
+    outputTokens += other.outputTokens;
+    return *this;
+}
+
+void addUsage(CustomerUsage &target, const CustomerUsage &source)
+{
+    for (const auto &[customer, figures] : source) {
+        target[customer] += figures;
+    }
+}
+
+std::string usageToText(const CustomerUsage &usage, const std::string &attempt)
+{
+    nlohmann::json customers = nlohmann::json::object();
+    for (const auto &[customer, figures] : usage) {
+        customers[customer]
+            = { { "requests", figures.requests }, { "promptTokens", figures.promptTokens }, { "outputTokens", figures.outputTokens } };
+    }
+    return nlohmann::json { { "customers", std::move(customers) }, { "attempt", attempt } }.dump();
+}
+
+absl::StatusOr<CustomerUsage> usageFromText(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("customers") || !json["customers"].is_object()) {
+        return absl::DataLossError("unreadable usage row");
+    }
+    CustomerUsage usage;
+    for (const auto &[customer, figures] : json["customers"].items()) {
+        if (!figures.is_object()) {
+            return absl::DataLossError("unreadable usage row of customer " + customer);
+        }
+        usage[customer] = { figures.value("requests", std::uint64_t { 0 }),
+                            figures.value("promptTokens", std::uint64_t { 0 }),
+                            figures.value("outputTokens", std::uint64_t { 0 }) };
+    }
+    return usage;
+}
+
+void UsageLedger::add(WindowNumber current, const std::string &customer, const UsageFigures &figures)
+{
+    const WindowNumber window = sealedUpTo_ ? std::max(current, *sealedUpTo_ + 1) : current;
+    windows_[window].figures[customer] += figures;
+}
+
+std::optional<UsageFlush> UsageLedger::nextFlush()
+{
+    if (pending_) {
+        return std::nullopt;
+    }
+    for (const auto &[number, window] : windows_) {
+        if (window.figures != window.stored) {
+            pending_ = UsageFlush { number, window.figures };
+            return pending_;
+        }
+    }
+    return std::nullopt;
+}
+
+void UsageLedger::flushed()
+{
+    const UsageFlush flush = *std::exchange(pending_, std::nullopt);
+    windows_[flush.window].stored = flush.figures;
+}
+
+void UsageLedger::flushUnknown()
+{
+    pending_.reset();
+}
+
+void UsageLedger::sealed(WindowNumber current, const CustomerUsage &stored)
+{
+    const UsageFlush flush = *std::exchange(pending_, std::nullopt);
+    sealedUpTo_ = std::max(sealedUpTo_.value_or(0), flush.window);
+    Window &window = windows_[flush.window];
+    CustomerUsage late;
+    for (const auto &[customer, figures] : window.figures) {
+        const auto it = stored.find(customer);
+        const UsageFigures before = it == stored.end() ? UsageFigures {} : it->second;
+        const UsageFigures rest { figures.requests - before.requests,
+                                  figures.promptTokens - before.promptTokens,
+                                  figures.outputTokens - before.outputTokens };
+        if (rest != UsageFigures {}) {
+            late[customer] = rest;
+        }
+    }
+    window.figures = stored;
+    window.stored = stored;
+    addUsage(windows_[std::max(current, *sealedUpTo_ + 1)].figures, late);
+}
+
+bool UsageLedger::isFlushed() const
+{
+    return !pending_
+        && std::all_of(windows_.begin(), windows_.end(), [](const auto &item) { return item.second.figures == item.second.stored; });
+}
+
+void UsageLedger::forgetBefore(WindowNumber window)
+{
+    std::erase_if(windows_, [&](const auto &item) {
+        const bool inFlight = pending_ && pending_->window == item.first;
+        return item.first < window && !inFlight && item.second.figures == item.second.stored;
+    });
+}
+
+CustomerUsage UsageLedger::unstored() const
+{
+    CustomerUsage result;
+    for (const auto &[number, window] : windows_) {
+        for (const auto &[customer, figures] : window.figures) {
+            const auto stored = window.stored.find(customer);
+            const UsageFigures before = stored == window.stored.end() ? UsageFigures {} : stored->second;
+            result[customer] += UsageFigures { figures.requests - before.requests,
+                                               figures.promptTokens - before.promptTokens,
+                                               figures.outputTokens - before.outputTokens };
+        }
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,128 @@
+/**
+ * The stand-ins' program: "standin platform", "standin engine" or "standin service". Prints its port as a JSON line on standard output.
+ */
+#include "engine.h"
+#include "platform.h"
+
+#include <CLI/CLI.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+
+#include <atomic>
+#include <iostream>
+
+namespace {
+
+using namespace Chestnutcove;
+
+int serve(asio::io_context &context, HttpServer &server)
+{
+    if (const auto status = server.start(); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        return 1;
+    }
+    std::cout << nlohmann::json { { "port", server.port() } }.dump() << std::endl;
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const std::error_code &, int) { context.stop(); });
+    context.run();
+    server.stop();
+    return 0;
+}
+
+int runPlatform(HttpServerOptions options)
+{
+    asio::io_context context;
+    PlatformStandIn platform;
+    options.threads = 8;
+    HttpServer server(
+        options,
+        [&platform](const HttpRequest &request, const HttpReply &reply) { platform.handle(request, reply); },
+        [](std::uint64_t) {});
+    return serve(context, server);
+}
+
+int runEngine(const HttpServerOptions &options, const EngineOptions &engineOptions)
+{
+    asio::io_context context;
+    EngineStandIn engine(context, engineOptions);
+    HttpServer server(
+        options,
+        [&](HttpRequest request, const HttpReply &reply) {
+            asio::post(context, [&engine, request = std::move(request), reply] { engine.handle(request, reply); });
+        },
+        [&](std::uint64_t connection) { asio::post(context, [&engine, connection] { engine.disconnected(connection); }); });
+    return serve(context, server);
+}
+
+/** A plain service that counts its calls and echoes what it got. */
+int runService(const HttpServerOptions &options, std::uint64_t delayMs)
+{
+    asio::io_context context;
+    std::atomic<std::uint64_t> calls = 0;
+    std::atomic<bool> sawKey = false;
+    std::atomic<bool> silent = false;
+    HttpServer server(
+        options,
+        [&](const HttpRequest &request, const HttpReply &reply) {
+            if (request.path == "/healthz") {
+                reply.respond(200, {}, "ok");
+                return;
+            }
+            if (request.path == "/admin/state") {
+                reply.respond(200, {}, nlohmann::json { { "calls", calls.load() }, { "sawKey", sawKey.load() } }.dump());
+                return;
+            }
+            if (request.path == "/admin/faults") {
+                silent = nlohmann::json::parse(request.body).value("silent", false);
+                reply.respond(200, {}, "{}");
+                return;
+            }
+            const std::uint64_t number = ++calls;
+            sawKey = sawKey || request.value("Authorization").has_value();
+            if (silent) {
+                return;
+            }
+            const nlohmann::json answer {
+                { "number", number }, { "method", request.method }, { "path", request.path }, { "body", request.body }
+            };
+            auto timer = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(delayMs));
+            timer->async_wait([timer, reply, answer](const std::error_code &) {
+                reply.respond(200, { { "Content-Type", "application/json" } }, answer.dump());
+            });
+        },
+        [](std::uint64_t) {});
+    auto work = asio::make_work_guard(context);
+    return serve(context, server);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stand-ins for the outside systems");
+    app.require_subcommand(1);
+    HttpServerOptions options;
+    EngineOptions engine;
+    std::uint64_t delayMs = 0;
+    app.add_option("--port", options.port, "Port on 127.0.0.1; 0 takes a free one");
+    app.add_subcommand("platform", "The platform's services");
+    auto *engineCommand = app.add_subcommand("engine", "A model engine");
+    engineCommand->add_option("--model", engine.model);
+    engineCommand->add_option("--role", engine.role);
+    engineCommand->add_option("--slots", engine.slots);
+    engineCommand->add_option("--prefill", engine.prefillTokensPerSecond);
+    engineCommand->add_option("--decode", engine.decodeTokensPerSecond);
+    engineCommand->add_option("--cache-blocks", engine.cacheBlocks);
+    engineCommand->add_option("--checks-fencing", engine.checksFencing);
+    engineCommand->add_option("--output-tokens", engine.defaultOutputTokens);
+    auto *serviceCommand = app.add_subcommand("service", "A plain service");
+    serviceCommand->add_option("--delay-ms", delayMs);
+    CLI11_PARSE(app, argc, argv);
+    if (app.got_subcommand("platform")) {
+        return runPlatform(options);
+    }
+    if (app.got_subcommand("engine")) {
+        return runEngine(options, engine);
+    }
+    return runService(options, delayMs);
+}
--- /dev/null
+++ b/tests/standins/platform.h
@@ -0,0 +1,48 @@
+/**
+ * Stand-in for the platform: table service, object store, VM list, endpoint ordering and usage reports, with faults on request.
+ */
+#pragma once
+
+#include "faults.h"
+#include "httpserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Chestnutcove {
+
+class PlatformStandIn
+{
+public:
+    void handle(const HttpRequest &request, const HttpReply &reply);
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+
+    nlohmann::json get(const nlohmann::json &body) const;
+    nlohmann::json list(const nlohmann::json &body) const;
+    /** False where a condition does not hold. */
+    bool commit(const nlohmann::json &body);
+    void serve(const HttpRequest &request, const HttpReply &reply);
+
+    std::mutex mutex_;
+    Faults faults_;
+    std::map<std::string, Row> rows_;
+    std::uint64_t lastVersion_ = 0;
+    std::map<std::string, std::string> objects_;
+    nlohmann::json vms_ = nlohmann::json::array();
+    nlohmann::json reports_ = nlohmann::json::array();
+    nlohmann::json orders_ = nlohmann::json::array();
+    std::uint64_t reads_ = 0;
+    std::uint64_t writes_ = 0;
+};
+
+}
