--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -39,5 +39,5 @@
     sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
 fi
 
-export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
+
 ctest --test-dir "$build" --output-on-failure --timeout 300 --parallel 4
--- a/src/chestnutcove/callerrequest.cpp
+++ b/src/chestnutcove/callerrequest.cpp
@@ -61,19 +61,19 @@
 
 nlohmann::json toJson(const CallerFailure &failure)
 {
-    nlohmann::json error { { "message", failure.message },
-                           { "type", typeOf(statusOf(failure.error)) },
-                           { "param", nullptr },
-                           { "code", nameOf(CallerErrorNames, failure.error) } };
+    nlohmann::json error {{"message", failure.message},
+                          {"type", typeOf(statusOf(failure.error))},
+                          {"param", nullptr},
+                          {"code", nameOf(CallerErrorNames, failure.error)}};
     if (failure.notRun) {
         error["not_run"] = true;
     }
-    return { { "error", std::move(error) } };
+    return {{"error", std::move(error)}};
 }
 
 void respondWith(const HttpReply &reply, const CallerFailure &failure, const std::string &requestId)
 {
-    HttpHeaders headers { { "Content-Type", "application/json" }, { "X-Request-Id", requestId } };
+    HttpHeaders headers {{"Content-Type", "application/json"}, {"X-Request-Id", requestId}};
     if (failure.retryAfter > Duration::zero()) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter).count();
         headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
--- a/src/chestnutcove/callerrequest.h
+++ b/src/chestnutcove/callerrequest.h
@@ -39,18 +39,18 @@
     ShuttingDown,
 };
 
-inline constexpr NameTable<CallerError, 19> CallerErrorNames { {
-    { CallerError::InvalidRequest, "invalid_request" },   { CallerError::BodyTooLarge, "body_too_large" },
-    { CallerError::KeyMissing, "key_missing" },           { CallerError::KeyInvalid, "key_invalid" },
-    { CallerError::NotAllowed, "not_allowed" },           { CallerError::ModelNotFound, "model_not_found" },
-    { CallerError::RouteNotFound, "route_not_found" },    { CallerError::MethodNotAllowed, "method_not_allowed" },
-    { CallerError::PromptTooLong, "prompt_too_long" },    { CallerError::RateLimited, "rate_limited" },
-    { CallerError::ExceedsBurst, "exceeds_burst" },       { CallerError::NoCapacity, "no_capacity" },
-    { CallerError::KeysNotFresh, "keys_not_fresh" },      { CallerError::StoreUnavailable, "store_unavailable" },
-    { CallerError::KeyReused, "idempotency_key_reused" }, { CallerError::EndpointFailed, "endpoint_failed" },
-    { CallerError::EndpointRefused, "endpoint_refused" }, { CallerError::OutcomeUnknown, "outcome_unknown" },
-    { CallerError::ShuttingDown, "shutting_down" },
-} };
+inline constexpr NameTable<CallerError, 19> CallerErrorNames {{
+    {CallerError::InvalidRequest, "invalid_request"},   {CallerError::BodyTooLarge, "body_too_large"},
+    {CallerError::KeyMissing, "key_missing"},           {CallerError::KeyInvalid, "key_invalid"},
+    {CallerError::NotAllowed, "not_allowed"},           {CallerError::ModelNotFound, "model_not_found"},
+    {CallerError::RouteNotFound, "route_not_found"},    {CallerError::MethodNotAllowed, "method_not_allowed"},
+    {CallerError::PromptTooLong, "prompt_too_long"},    {CallerError::RateLimited, "rate_limited"},
+    {CallerError::ExceedsBurst, "exceeds_burst"},       {CallerError::NoCapacity, "no_capacity"},
+    {CallerError::KeysNotFresh, "keys_not_fresh"},      {CallerError::StoreUnavailable, "store_unavailable"},
+    {CallerError::KeyReused, "idempotency_key_reused"}, {CallerError::EndpointFailed, "endpoint_failed"},
+    {CallerError::EndpointRefused, "endpoint_refused"}, {CallerError::OutcomeUnknown, "outcome_unknown"},
+    {CallerError::ShuttingDown, "shutting_down"},
+}};
 
 struct CallerFailure
 {
--- a/src/chestnutcove/catalogueeditor.cpp
+++ b/src/chestnutcove/catalogueeditor.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int MaxTries = 20;
-constexpr Milliseconds SyncPause { 20 };
+constexpr Milliseconds SyncPause {20};
 
 std::uint64_t readHead(const TableRows &rows)
 {
@@ -19,7 +19,7 @@
         return 0;
     }
     const auto json = nlohmann::json::parse(it->second.value, nullptr, false);
-    return json.is_object() ? json.value("version", std::uint64_t { 0 }) : 0;
+    return json.is_object() ? json.value("version", std::uint64_t {0}) : 0;
 }
 
 }
@@ -53,7 +53,7 @@
         onDone(absl::UnavailableError("the catalogue changes too fast for this edit; nothing was written"));
         return;
     }
-    table_.get({ catalogueHeadKey() }, [this, edit, onDone, triesLeft](const absl::StatusOr<TableRows> &rows) {
+    table_.get({catalogueHeadKey()}, [this, edit, onDone, triesLeft](const absl::StatusOr<TableRows> &rows) {
         if (!rows.ok()) {
             onDone(absl::UnavailableError("the store can't be reached; nothing was written"));
             return;
@@ -95,9 +95,9 @@
     TableWrite write;
     write.attempt = change.attempt;
     write.witnessKey = catalogueChangeKey(change.version);
-    write.transaction.conditions = { { catalogueHeadKey(), headRowVersion }, { write.witnessKey, 0 } };
+    write.transaction.conditions = {{catalogueHeadKey(), headRowVersion}, {write.witnessKey, 0}};
     write.transaction.puts
-        = { { catalogueHeadKey(), nlohmann::json { { "version", change.version } }.dump() }, { write.witnessKey, change.toText() } };
+        = {{catalogueHeadKey(), nlohmann::json {{"version", change.version}}.dump()}, {write.witnessKey, change.toText()}};
     writer_.write(std::move(write), [this, edit, onDone, triesLeft, version = change.version](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
--- a/src/chestnutcove/cataloguesync.cpp
+++ b/src/chestnutcove/cataloguesync.cpp
@@ -62,7 +62,7 @@
         for (const auto &[key, row] : *rows) {
             const auto change = CatalogueChange::fromText(row.value);
             if (!change.ok()) {
-                log_.error("catalogue change unreadable", { { "row", key }, { "reason", std::string(change.status().message()) } });
+                log_.error("catalogue change unreadable", {{"row", key}, {"reason", std::string(change.status().message())}});
                 return;
             }
             progress = apply(*change) || progress;
@@ -84,10 +84,9 @@
     if (recent_.size() > RecentChanges) {
         recent_.pop_front();
     }
-    log_.info("catalogue version in force",
-              { { "version", std::to_string(change.version) },
-                { "kind", std::string(nameOf(EntryKindNames, change.kind)) },
-                { "name", change.name } });
+    log_.info(
+        "catalogue version in force",
+        {{"version", std::to_string(change.version)}, {"kind", std::string(nameOf(EntryKindNames, change.kind))}, {"name", change.name}});
     onApplied_(*next);
     return true;
 }
@@ -97,12 +96,12 @@
     if (changes.snapshot_version() > version()) {
         auto snapshot = Catalogue::fromText(changes.snapshot());
         if (!snapshot.ok()) {
-            log_.error("catalogue snapshot unreadable", { { "reason", std::string(snapshot.status().message()) } });
+            log_.error("catalogue snapshot unreadable", {{"reason", std::string(snapshot.status().message())}});
             return;
         }
         recent_.clear();
         catalogue_.replace(*snapshot);
-        log_.info("catalogue taken from a peer", { { "version", std::to_string(snapshot->version()) } });
+        log_.info("catalogue taken from a peer", {{"version", std::to_string(snapshot->version())}});
         onApplied_(*snapshot);
     }
     for (const auto &item : changes.changes()) {
--- a/src/chestnutcove/dutylease.cpp
+++ b/src/chestnutcove/dutylease.cpp
@@ -38,7 +38,7 @@
     if (row.ok()) {
         keeper_.observed(*row, it->second.version, now);
     } else {
-        log_.error("lease row unreadable", { { "duty", duty_ } });
+        log_.error("lease row unreadable", {{"duty", duty_}});
     }
 }
 
@@ -50,7 +50,7 @@
     const bool valid = keeper_.isValid(now);
     if (valid != wasValid_) {
         wasValid_ = valid;
-        log_.info(valid ? "lease acquired" : "lease lost", { { "duty", duty_ }, { "epoch", std::to_string(keeper_.epoch()) } });
+        log_.info(valid ? "lease acquired" : "lease lost", {{"duty", duty_}, {"epoch", std::to_string(keeper_.epoch())}});
     }
 }
 
@@ -66,8 +66,8 @@
     TableWrite write;
     write.attempt = absl::StrFormat("%016x", random_());
     write.witnessKey = rowKey();
-    write.transaction.conditions = { { rowKey(), lease.replaces } };
-    write.transaction.puts = { { rowKey(), lease.row.toText(write.attempt) } };
+    write.transaction.conditions = {{rowKey(), lease.replaces}};
+    write.transaction.puts = {{rowKey(), lease.row.toText(write.attempt)}};
     writer_.write(std::move(write), [this](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
--- a/src/chestnutcove/endpointlinks.cpp
+++ b/src/chestnutcove/endpointlinks.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /** How long the link of a removed endpoint stays for the answers that still run there. */
-constexpr std::chrono::minutes RetireTime { 10 };
-constexpr std::chrono::seconds ConnectPatience { 1 };
+constexpr std::chrono::minutes RetireTime {10};
+constexpr std::chrono::seconds ConnectPatience {1};
 
 LinkKey keyOf(const EndpointEntry &entry)
 {
@@ -98,7 +98,7 @@
         heartbeat->set_cache_incarnation(link.tick.incarnation);
         const auto known = router_.endpoints().find(link.endpoint);
         const std::uint64_t dispatches = known == router_.endpoints().end() ? 0 : known->second.dispatches;
-        link.sent.push_back({ link.heartbeats, now, dispatches });
+        link.sent.push_back({link.heartbeats, now, dispatches});
         const bool sent = link.client->send(message);
         const bool silent = link.alive && (!sent || now - link.lastHeard > options_.timeout);
         const bool unreachable = !link.alive && now - link.connectedAt > ConnectPatience;
@@ -123,7 +123,7 @@
     if (!wasAlive) {
         return;
     }
-    log_.warning("link to sidecar lost", { { "endpoint", link.endpoint } });
+    log_.warning("link to sidecar lost", {{"endpoint", link.endpoint}});
     if (!link.retired) {
         router_.linkLost(link.endpoint);
     }
@@ -161,10 +161,10 @@
     }
     const Link::Sent asked = link.sent.front();
     if (!link.alive) {
-        log_.info("link to sidecar up", { { "endpoint", link.endpoint } });
+        log_.info("link to sidecar up", {{"endpoint", link.endpoint}});
     }
     link.alive = true;
-    link.tick = { reply.sidecar_incarnation(), reply.tick_us() };
+    link.tick = {reply.sidecar_incarnation(), reply.tick_us()};
     link.tickAskedAt = asked.at;
     link.highestEpoch = reply.highest_epoch();
     link.cacheCursor = reply.cache_cursor();
@@ -176,8 +176,8 @@
     if (reply.cache_reset() || reply.cached_blocks_size() > 0 || reply.evicted_blocks_size() > 0) {
         router_.cacheChanged(link.endpoint,
                              reply.cache_reset(),
-                             { reply.cached_blocks().begin(), reply.cached_blocks().end() },
-                             { reply.evicted_blocks().begin(), reply.evicted_blocks().end() });
+                             {reply.cached_blocks().begin(), reply.cached_blocks().end()},
+                             {reply.evicted_blocks().begin(), reply.evicted_blocks().end()});
     }
 }
 
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -13,14 +13,14 @@
 namespace {
 
 constexpr const char *MembershipKey = "membership";
-constexpr std::chrono::seconds MaxConnectionAge { 60 };
-constexpr Milliseconds FastTick { 20 };
-constexpr Milliseconds SlowTick { 100 };
-constexpr std::chrono::seconds VmListInterval { 2 };
+constexpr std::chrono::seconds MaxConnectionAge {60};
+constexpr Milliseconds FastTick {20};
+constexpr Milliseconds SlowTick {100};
+constexpr std::chrono::seconds VmListInterval {2};
 /** Clocks of two VMs may drift apart by this part. */
 constexpr double DriftMargin = 1.1;
 constexpr std::size_t BodyLimitFactor = 4;
-constexpr std::chrono::minutes StopPatience { 10 };
+constexpr std::chrono::minutes StopPatience {10};
 
 LimiterOptions toLimiterOptions(const GatewayTiming &timing)
 {
@@ -60,17 +60,17 @@
     , log_(log)
     , metrics_(metrics)
     , incarnation_(incarnation)
-    , self_ { settings_.name, incarnation }
+    , self_ {settings_.name, incarnation}
     , catalogue_(Catalogue())
     , client_(context.get_executor(), MaxConnectionAge)
-    , table_(client_, { settings_.platformUrl, settings_.platformTimeout })
-    , vmList_(client_, { settings_.platformUrl, settings_.platformTimeout })
-    , links_(context, { settings_.link.publicKey, settings_.link.secretKey }, { settings_.link.gatewayKey })
+    , table_(client_, {settings_.platformUrl, settings_.platformTimeout})
+    , vmList_(client_, {settings_.platformUrl, settings_.platformTimeout})
+    , links_(context, {settings_.link.publicKey, settings_.link.secretKey}, {settings_.link.gatewayKey})
     , router_(toRouterOptions(settings_))
     , proof_(settings_.name, settings_.timing.freshness, settings_.timing.poll)
     , gate_(self_, withMargin(settings_.timing.freshness), withMargin(settings_.timing.grantLifetime))
-    , keeper_({ self_, "", settings_.dataCentre },
-              { settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout },
+    , keeper_({self_, "", settings_.dataCentre},
+              {settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout},
               std::chrono::steady_clock::now())
     , sync_(table_, catalogue_, log, [this](const Catalogue &catalogue) { applyCatalogue(catalogue); })
     , editor_(context.get_executor(), table_, catalogue_, sync_, incarnation + 2, settings_.timing.leaseDuration)
@@ -79,7 +79,7 @@
           links_,
           router_,
           log,
-          { settings_.name, incarnation, settings_.link.sidecarKey, settings_.timing.endpointTimeout },
+          {settings_.name, incarnation, settings_.link.sidecarKey, settings_.timing.endpointTimeout},
           [this](const LinkKey &key, const wire::Envelope &message) {
               if (message.body_case() == wire::Envelope::kDumpReply) {
                   const auto it = dumpRequests_.find(message.dump_reply().number());
@@ -102,13 +102,13 @@
               [this](const std::string &customer, const UsageFigures &figures) { usage_.add(customer, figures); })
     , peers_(links_,
              log,
-             { self_, "", settings_.dataCentre },
+             {self_, "", settings_.dataCentre},
              settings_.link.gatewayKey,
              settings_.peers,
-             { [this] { return ownState(); },
-               [this](const wire::PeerState &state) { onPeerState(state); },
-               [this](const PeerReport &report) { proof_.peerReported(report); },
-               [this](const wire::Envelope &message, const auto &reply) { onPeerMessage(message, reply); } })
+             {[this] { return ownState(); },
+              [this](const wire::PeerState &state) { onPeerState(state); },
+              [this](const PeerReport &report) { proof_.peerReported(report); },
+              [this](const wire::Envelope &message, const auto &reply) { onPeerMessage(message, reply); }})
     , limits_(
           context,
           self_,
@@ -145,11 +145,11 @@
                    asio::post(context_, [this, request = std::move(request)]() mutable { runner_.start(std::move(request)); });
                })
     , callerServer_(
-          { settings_.callers.address,
-            settings_.callers.port,
-            settings_.callerThreads,
-            settings_.maxBodyBytes * BodyLimitFactor,
-            settings_.readTimeout },
+          {settings_.callers.address,
+           settings_.callers.port,
+           settings_.callerThreads,
+           settings_.maxBodyBytes * BodyLimitFactor,
+           settings_.readTimeout},
           [this](HttpRequest request, const HttpReply &reply) { callers_.handle(std::move(request), reply); },
           [this](std::uint64_t connection) { asio::post(context_, [this, connection] { runner_.clientGone(connection); }); })
 {
@@ -168,18 +168,17 @@
     if (const auto status = peers_.listen(settings_.link.listen.address, settings_.link.listen.port); !status.ok()) {
         return status;
     }
-    const GatewayMember self { self_, settings_.link.listen.address + ":" + std::to_string(peers_.port()), settings_.dataCentre };
+    const GatewayMember self {self_, settings_.link.listen.address + ":" + std::to_string(peers_.port()), settings_.dataCentre};
     const auto now = std::chrono::steady_clock::now();
-    keeper_
-        = MembershipKeeper(self, { settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout }, now);
+    keeper_ = MembershipKeeper(self, {settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout}, now);
     peers_.setSelf(self);
 
     auto operators = std::make_shared<OperatorApi>(*this, context_);
     operatorServer_ = std::make_unique<HttpServer>(
-        HttpServerOptions { settings_.operators.address, settings_.operators.port, 1, settings_.maxBodyBytes, settings_.readTimeout },
+        HttpServerOptions {settings_.operators.address, settings_.operators.port, 1, settings_.maxBodyBytes, settings_.readTimeout},
         [operators](HttpRequest request, const HttpReply &reply) { operators->handle(std::move(request), reply); },
         [](std::uint64_t) {});
-    for (HttpServer *server : { &callerServer_, operatorServer_.get() }) {
+    for (HttpServer *server : {&callerServer_, operatorServer_.get()}) {
         if (const auto status = server->start(); !status.ok()) {
             return status;
         }
@@ -201,10 +200,10 @@
     });
     every(VmListInterval, [this](TimePoint) { readVmList(); });
     log_.info("gateway started",
-              { { "dataCentre", settings_.dataCentre },
-                { "callers", std::to_string(callerPort()) },
-                { "operators", std::to_string(operatorPort()) },
-                { "link", std::to_string(linkPort()) } });
+              {{"dataCentre", settings_.dataCentre},
+               {"callers", std::to_string(callerPort())},
+               {"operators", std::to_string(operatorPort())},
+               {"link", std::to_string(linkPort())}});
     return absl::OkStatus();
 }
 
@@ -247,7 +246,7 @@
     }
     polling_ = true;
     const auto startedAt = std::chrono::steady_clock::now();
-    table_.get({ catalogueHeadKey(), MembershipKey, plannerLease_.rowKey(), reporterLease_.rowKey() },
+    table_.get({catalogueHeadKey(), MembershipKey, plannerLease_.rowKey(), reporterLease_.rowKey()},
                [this, startedAt](const absl::StatusOr<TableRows> &rows) {
                    polling_ = false;
                    onHeads(startedAt, rows);
@@ -266,7 +265,7 @@
     const auto head = rows->find(catalogueHeadKey());
     if (head != rows->end()) {
         const auto json = nlohmann::json::parse(head->second.value, nullptr, false);
-        heads.catalogueVersion = json.is_object() ? json.value("version", std::uint64_t { 0 }) : 0;
+        heads.catalogueVersion = json.is_object() ? json.value("version", std::uint64_t {0}) : 0;
     }
     heads.membershipEpoch = keeper_.row().epoch;
     proof_.readSucceeded(startedAt, heads);
@@ -286,7 +285,7 @@
     }
     const auto row = MembershipRow::fromText(it->second.value);
     if (!row.ok()) {
-        log_.error("membership row unreadable", { { "reason", std::string(row.status().message()) } });
+        log_.error("membership row unreadable", {{"reason", std::string(row.status().message())}});
         return;
     }
     membershipRowVersion_ = it->second.version;
@@ -307,7 +306,7 @@
     for (const std::string &name : row.names()) {
         names += (names.empty() ? "" : ",") + name;
     }
-    log_.info("membership in force", { { "epoch", std::to_string(row.epoch) }, { "members", names } });
+    log_.info("membership in force", {{"epoch", std::to_string(row.epoch)}, {"members", names}});
 }
 
 void Gateway::considerMembership(TimePoint now)
@@ -330,8 +329,8 @@
     TableWrite write;
     write.attempt = absl::StrFormat("%016x-%x", incarnation_, row.epoch);
     write.witnessKey = MembershipKey;
-    write.transaction.conditions = { { MembershipKey, membershipRowVersion_ } };
-    write.transaction.puts = { { MembershipKey, row.toText(write.attempt) } };
+    write.transaction.conditions = {{MembershipKey, membershipRowVersion_}};
+    write.transaction.puts = {{MembershipKey, row.toText(write.attempt)}};
     membershipWriter_.write(std::move(write), [this](CommitOutcome outcome) {
         membershipWriting_ = false;
         if (outcome == CommitOutcome::Committed || outcome == CommitOutcome::Conflict) {
@@ -388,8 +387,8 @@
 void Gateway::onPeerState(const wire::PeerState &state)
 {
     const auto now = std::chrono::steady_clock::now();
-    const GatewayIdentity identity { state.name(), state.incarnation() };
-    keeper_.heard(identity, { state.suspects().begin(), state.suspects().end() }, now);
+    const GatewayIdentity identity {state.name(), state.incarnation()};
+    keeper_.heard(identity, {state.suspects().begin(), state.suspects().end()}, now);
     gate_.acknowledged(identity, state.membership_epoch(), now);
     const std::uint64_t ours = sync_.version();
     if (state.catalogue_version() <= ours) {
@@ -432,7 +431,7 @@
 
 void Gateway::stop(std::function<void()> onStopped)
 {
-    log_.info("gateway stopping", { { "active", std::to_string(runner_.active()) } });
+    log_.info("gateway stopping", {{"active", std::to_string(runner_.active())}});
     stopping_ = true;
     onStopped_ = std::move(onStopped);
     const auto now = std::chrono::steady_clock::now();
@@ -481,22 +480,22 @@
     nlohmann::json list = nlohmann::json::array();
     for (const auto &[name, endpoint] : router_.endpoints()) {
         const auto link = endpointLinks_.linkOf(name);
-        list.push_back({ { "name", name },
-                         { "dataCentre", endpoint.entry.dataCentre },
-                         { "serves", endpoint.entry.serves },
-                         { "role", link ? endpointLinks_.roleOf(*link) : std::string() },
-                         { "wantedRole", nameOf(EndpointRoleNames, endpoint.entry.role) },
-                         { "connected", link.has_value() },
-                         { "healthy", endpoint.load.healthy },
-                         { "draining", endpoint.entry.draining || endpoint.load.draining },
-                         { "onProbation", endpoint.probationUntil > now },
-                         { "queued", endpoint.load.queued },
-                         { "running", endpoint.load.running },
-                         { "slots", endpoint.load.slots },
-                         { "queuedSeconds", endpoint.load.queuedSeconds },
-                         { "prefillTokensPerSecond", endpoint.load.prefillTokensPerSecond },
-                         { "decodeTokensPerSecond", endpoint.load.decodeTokensPerSecond },
-                         { "cachedBlocks", endpoint.blocks.size() } });
+        list.push_back({{"name", name},
+                        {"dataCentre", endpoint.entry.dataCentre},
+                        {"serves", endpoint.entry.serves},
+                        {"role", link ? endpointLinks_.roleOf(*link) : std::string()},
+                        {"wantedRole", nameOf(EndpointRoleNames, endpoint.entry.role)},
+                        {"connected", link.has_value()},
+                        {"healthy", endpoint.load.healthy},
+                        {"draining", endpoint.entry.draining || endpoint.load.draining},
+                        {"onProbation", endpoint.probationUntil > now},
+                        {"queued", endpoint.load.queued},
+                        {"running", endpoint.load.running},
+                        {"slots", endpoint.load.slots},
+                        {"queuedSeconds", endpoint.load.queuedSeconds},
+                        {"prefillTokensPerSecond", endpoint.load.prefillTokensPerSecond},
+                        {"decodeTokensPerSecond", endpoint.load.decodeTokensPerSecond},
+                        {"cachedBlocks", endpoint.blocks.size()}});
     }
     return list;
 }
@@ -507,47 +506,44 @@
     const auto age = [now](TimePoint time) { return std::chrono::duration_cast<Milliseconds>(now - time).count(); };
     nlohmann::json peers = nlohmann::json::array();
     for (const auto &view : peers_.views()) {
-        peers.push_back(
-            { { "name", view.name }, { "address", view.address }, { "alive", view.alive }, { "silentMs", age(view.lastHeard) } });
+        peers.push_back({{"name", view.name}, {"address", view.address}, {"alive", view.alive}, {"silentMs", age(view.lastHeard)}});
     }
     nlohmann::json pending = nlohmann::json::array();
     for (const GatewayIdentity &identity : gate_.pending()) {
         pending.push_back(identity.name + "-" + std::to_string(identity.incarnation));
     }
     const auto lease = [now](const LeaseKeeper &keeper) {
-        return nlohmann::json { { "holder", keeper.row().holder },
-                                { "epoch", keeper.epoch() },
-                                { "valid", keeper.isValid(now) },
-                                { "mayAct", keeper.mayAct(now) } };
+        return nlohmann::json {
+            {"holder", keeper.row().holder}, {"epoch", keeper.epoch()}, {"valid", keeper.isValid(now)}, {"mayAct", keeper.mayAct(now)}};
     };
-    return { { "process", "gateway" },
-             { "name", settings_.name },
-             { "dataCentre", settings_.dataCentre },
-             { "incarnation", incarnation_ },
-             { "ready", isReady() },
-             { "stopping", stopping_ },
-             { "catalogue", { { "version", sync_.version() }, { "inForce", versionsInForce() } } },
-             { "store",
-               { { "down", proof_.isStoreDown(now) },
-                 { "proofAgeMs", proof_.hasProof() ? nlohmann::json(age(proof_.proofTime())) : nlohmann::json() },
-                 { "keysFresh", now <= proof_.keysValidUntil(now) },
-                 { "sharesValid", now <= proof_.sharesValidUntil(now) },
-                 { "reads", table_.reads() },
-                 { "writes", table_.writes() },
-                 { "failures", table_.failures() } } },
-             { "membership",
-               { { "epoch", gate_.membership().epoch },
-                 { "members", gate_.membership().names() },
-                 { "electors", gate_.membership().electors() },
-                 { "settled", gate_.isSettled(now) },
-                 { "pending", std::move(pending) },
-                 { "suspects", keeper_.suspects(now) } } },
-             { "peers", std::move(peers) },
-             { "leases", { { "planner", lease(plannerLease_.keeper()) }, { "reporter", lease(reporterLease_.keeper()) } } },
-             { "limits", limits_.dump(now) },
-             { "requests", runner_.dump() },
-             { "usage", usage_.dump() },
-             { "endpoints", endpoints() } };
+    return {{"process", "gateway"},
+            {"name", settings_.name},
+            {"dataCentre", settings_.dataCentre},
+            {"incarnation", incarnation_},
+            {"ready", isReady()},
+            {"stopping", stopping_},
+            {"catalogue", {{"version", sync_.version()}, {"inForce", versionsInForce()}}},
+            {"store",
+             {{"down", proof_.isStoreDown(now)},
+              {"proofAgeMs", proof_.hasProof() ? nlohmann::json(age(proof_.proofTime())) : nlohmann::json()},
+              {"keysFresh", now <= proof_.keysValidUntil(now)},
+              {"sharesValid", now <= proof_.sharesValidUntil(now)},
+              {"reads", table_.reads()},
+              {"writes", table_.writes()},
+              {"failures", table_.failures()}}},
+            {"membership",
+             {{"epoch", gate_.membership().epoch},
+              {"members", gate_.membership().names()},
+              {"electors", gate_.membership().electors()},
+              {"settled", gate_.isSettled(now)},
+              {"pending", std::move(pending)},
+              {"suspects", keeper_.suspects(now)}}},
+            {"peers", std::move(peers)},
+            {"leases", {{"planner", lease(plannerLease_.keeper())}, {"reporter", lease(reporterLease_.keeper())}}},
+            {"limits", limits_.dump(now)},
+            {"requests", runner_.dump()},
+            {"usage", usage_.dump()},
+            {"endpoints", endpoints()}};
 }
 
 void Gateway::dumpSidecar(const std::string &endpoint, std::function<void(absl::StatusOr<std::string>)> onDump)
--- a/src/chestnutcove/idempotencystore.cpp
+++ b/src/chestnutcove/idempotencystore.cpp
@@ -30,8 +30,8 @@
     TableWrite write;
     write.attempt = absl::StrFormat("%016x", random_());
     write.witnessKey = rowKey(customer, service, key);
-    write.transaction.conditions = { { write.witnessKey, 0 } };
-    write.transaction.puts = { { write.witnessKey, nlohmann::json { { "attempt", write.attempt } }.dump() } };
+    write.transaction.conditions = {{write.witnessKey, 0}};
+    write.transaction.puts = {{write.witnessKey, nlohmann::json {{"attempt", write.attempt}}.dump()}};
     writer_.write(std::move(write), [onDone = std::move(onDone)](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
@@ -51,7 +51,7 @@
 void IdempotencyStore::release(const std::string &customer, const std::string &service, const std::string &key)
 {
     TableTransaction transaction;
-    transaction.puts = { { rowKey(customer, service, key), std::nullopt } };
+    transaction.puts = {{rowKey(customer, service, key), std::nullopt}};
     table_.commit(transaction, [](CommitOutcome) {});
 }
 
--- a/src/chestnutcove/limitboard.cpp
+++ b/src/chestnutcove/limitboard.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Milliseconds BusyPollInterval { 5 };
+constexpr Milliseconds BusyPollInterval {5};
 
 }
 
@@ -98,7 +98,7 @@
 void LimitBoard::request(const std::string &customer, const AdmissionRequest &request, TimePoint now)
 {
     if (!limiters_.contains(customer)) {
-        onAdmission_({ request.id, AdmissionVerdict::Unavailable, std::chrono::seconds(1) });
+        onAdmission_({request.id, AdmissionVerdict::Unavailable, std::chrono::seconds(1)});
         return;
     }
     CustomerLimiter &target = limiter(customer, now);
@@ -211,7 +211,7 @@
     const bool sameEpoch = request.membership_epoch() == gate_.membership().epoch;
     if (it != limiters_.end() && sameEpoch) {
         CustomerLimiter &holder = limiter(request.customer(), now);
-        body->set_amount(holder.grantTo({ request.incarnation(), request.number() }, request.amount(), now));
+        body->set_amount(holder.grantTo({request.incarnation(), request.number()}, request.amount(), now));
         body->set_level(holder.shareLevel(now));
     }
     reply(answer);
@@ -231,7 +231,7 @@
 {
     const auto it = limiters_.find(message.customer());
     if (it != limiters_.end()) {
-        it->second->takeBack({ message.incarnation(), message.number() }, message.amount(), now);
+        it->second->takeBack({message.incarnation(), message.number()}, message.amount(), now);
     }
 }
 
@@ -239,13 +239,13 @@
 {
     nlohmann::json result = nlohmann::json::object();
     for (const auto &[name, limiter] : limiters_) {
-        result[name] = { { "rate", limiter->rate() },
-                         { "burst", limiter->burst() },
-                         { "ownFraction", limiter->shares().ownFraction },
-                         { "otherHolders", limiter->shares().others },
-                         { "available", limiter->available(now) },
-                         { "waiting", limiter->waiting() },
-                         { "running", limiter->running() } };
+        result[name] = {{"rate", limiter->rate()},
+                        {"burst", limiter->burst()},
+                        {"ownFraction", limiter->shares().ownFraction},
+                        {"otherHolders", limiter->shares().others},
+                        {"available", limiter->available(now)},
+                        {"waiting", limiter->waiting()},
+                        {"running", limiter->running()}};
     }
     return result;
 }
--- a/src/chestnutcove/main.cpp
+++ b/src/chestnutcove/main.cpp
@@ -63,8 +63,7 @@
     Gateway gateway(*settings, context, log, metrics, randomIncarnation());
     return runRole(gateway, context, [&gateway] {
         return nlohmann::json {
-            { "ready", true }, { "callers", gateway.callerPort() }, { "operators", gateway.operatorPort() }, { "link", gateway.linkPort() }
-        };
+            {"ready", true}, {"callers", gateway.callerPort()}, {"operators", gateway.operatorPort()}, {"link", gateway.linkPort()}};
     });
 }
 
@@ -79,7 +78,7 @@
     Metrics metrics;
     asio::io_context context;
     Sidecar sidecar(*settings, context, log, metrics, randomIncarnation());
-    return runRole(sidecar, context, [&sidecar] { return nlohmann::json { { "ready", true }, { "link", sidecar.port() } }; });
+    return runRole(sidecar, context, [&sidecar] { return nlohmann::json {{"ready", true}, {"link", sidecar.port()}}; });
 }
 
 ExitCode checkSettings(const std::string &role, const std::string &file)
@@ -100,7 +99,7 @@
         std::cerr << keys.status().message() << '\n';
         return ExitCode::Failed;
     }
-    std::cout << nlohmann::json { { "publicKey", keys->publicKey }, { "secretKey", keys->secretKey } }.dump() << '\n';
+    std::cout << nlohmann::json {{"publicKey", keys->publicKey}, {"secretKey", keys->secretKey}}.dump() << '\n';
     return ExitCode::Done;
 }
 
@@ -143,7 +142,7 @@
         auto *config = app_.add_subcommand("config", "Work with settings files");
         config->require_subcommand(1);
         auto *check = config->add_subcommand("check", "Check a settings file and print every fault");
-        check->add_option("--role", role_, "gateway or sidecar")->required()->check(CLI::IsMember({ "gateway", "sidecar" }));
+        check->add_option("--role", role_, "gateway or sidecar")->required()->check(CLI::IsMember({"gateway", "sidecar"}));
         check->add_option("file", file_, "Settings file")->required();
         check->callback([this] { action_ = [this] { return checkSettings(role_, file_); }; });
         app_.add_subcommand("keypair", "Print a new key pair for the links between processes")->callback([this] {
@@ -198,7 +197,7 @@
         addCommand(endpoint, "list", "List endpoints with role, load and drain state", [](const auto &commands) {
             return commands.listEndpoints();
         });
-        for (const bool draining : { true, false }) {
+        for (const bool draining : {true, false}) {
             auto *command
                 = addCommand(endpoint,
                              draining ? "drain" : "undrain",
--- a/src/chestnutcove/operatorapi.cpp
+++ b/src/chestnutcove/operatorapi.cpp
@@ -18,12 +18,12 @@
 
 void respondJson(const HttpReply &reply, int status, const nlohmann::json &body)
 {
-    reply.respond(status, { { "Content-Type", "application/json" } }, body.dump());
+    reply.respond(status, {{"Content-Type", "application/json"}}, body.dump());
 }
 
 void respondError(const HttpReply &reply, int status, const std::string &message)
 {
-    respondJson(reply, status, { { "error", message } });
+    respondJson(reply, status, {{"error", message}});
 }
 
 int statusOf(const absl::Status &status)
@@ -50,10 +50,10 @@
     if (kind == EntryKind::Key) {
         document.erase("hash");
     }
-    return { { "kind", nameOf(EntryKindNames, kind) },
-             { "name", name },
-             { "version", catalogue.entryVersion(kind, name) },
-             { "document", std::move(document) } };
+    return {{"kind", nameOf(EntryKindNames, kind)},
+            {"name", name},
+            {"version", catalogue.entryVersion(kind, name)},
+            {"document", std::move(document)}};
 }
 
 template<typename Map>
@@ -92,15 +92,15 @@
 {
     const std::string &path = request.path;
     if (path == "/healthz") {
-        respondJson(reply, 200, { { "healthy", true } });
+        respondJson(reply, 200, {{"healthy", true}});
         return;
     }
     if (path == "/readyz") {
-        respondJson(reply, gateway_.isReady() ? 200 : 503, { { "ready", gateway_.isReady() } });
+        respondJson(reply, gateway_.isReady() ? 200 : 503, {{"ready", gateway_.isReady()}});
         return;
     }
     if (path == "/metrics") {
-        reply.respond(200, { { "Content-Type", "text/plain; version=0.0.4" } }, gateway_.metrics().toPrometheusText());
+        reply.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, gateway_.metrics().toPrometheusText());
         return;
     }
     if (!isAuthorised(request)) {
@@ -114,7 +114,7 @@
     } else if (path.starts_with(KeysPath)) {
         keys(request, reply, path.size() > KeysPath.size() ? path.substr(KeysPath.size() + 1) : std::string());
     } else if (path == EndpointsPath && request.method == "GET") {
-        respondJson(reply, 200, { { "endpoints", gateway_.endpoints() } });
+        respondJson(reply, 200, {{"endpoints", gateway_.endpoints()}});
     } else if (path.starts_with(std::string(EndpointsPath) + "/") && request.method == "POST") {
         const std::string rest = path.substr(EndpointsPath.size() + 1);
         const auto slash = rest.find('/');
@@ -125,7 +125,7 @@
             respondError(reply, 404, "an endpoint can be drained or undrained");
         }
     } else if (path == "/operator/in-force") {
-        respondJson(reply, 200, { { "gateways", gateway_.versionsInForce() } });
+        respondJson(reply, 200, {{"gateways", gateway_.versionsInForce()}});
     } else if (path == "/operator/dump") {
         dump(request, reply);
     } else if (path == "/operator/explain") {
@@ -154,7 +154,7 @@
     append(EntryKind::Service, catalogue.services());
     append(EntryKind::Endpoint, catalogue.endpoints());
     append(EntryKind::Key, catalogue.keys());
-    respondJson(reply, 200, { { "version", catalogue.version() }, { "entries", std::move(list) } });
+    respondJson(reply, 200, {{"version", catalogue.version()}, {"entries", std::move(list)}});
 }
 
 void OperatorApi::catalogueEntry(const HttpRequest &request, const HttpReply &reply, const std::string &rest)
@@ -188,7 +188,7 @@
         respondError(reply, 404, "there is no such entry");
         return;
     }
-    edit({ *kind, name, std::nullopt, std::nullopt }, reply, {});
+    edit({*kind, name, std::nullopt, std::nullopt}, reply, {});
 }
 
 void OperatorApi::putEntry(const HttpRequest &request, const HttpReply &reply, EntryKind kind, const std::string &name)
@@ -207,7 +207,7 @@
         respondError(reply, 400, std::string(entry.status().message()));
         return;
     }
-    CatalogueEdit change { kind, name, *entry, std::nullopt };
+    CatalogueEdit change {kind, name, *entry, std::nullopt};
     const auto expected = body.find("expectedVersion");
     if (expected != body.end()) {
         if (!expected->is_number_unsigned()) {
@@ -237,10 +237,9 @@
     if (request.method == "GET" && rest.empty()) {
         nlohmann::json list = nlohmann::json::array();
         for (const auto &[name, key] : catalogue.keys()) {
-            list.push_back(
-                { { "name", name }, { "customer", key->customer }, { "version", catalogue.entryVersion(EntryKind::Key, name) } });
+            list.push_back({{"name", name}, {"customer", key->customer}, {"version", catalogue.entryVersion(EntryKind::Key, name)}});
         }
-        respondJson(reply, 200, { { "keys", std::move(list) } });
+        respondJson(reply, 200, {{"keys", std::move(list)}});
         return;
     }
     if (request.method == "POST" && rest.empty()) {
@@ -255,7 +254,7 @@
         respondError(reply, 404, "there is no such key");
         return;
     }
-    edit({ EntryKind::Key, rest, std::nullopt, std::nullopt }, reply, {});
+    edit({EntryKind::Key, rest, std::nullopt, std::nullopt}, reply, {});
 }
 
 void OperatorApi::grant(const HttpRequest &request, const HttpReply &reply)
@@ -275,9 +274,8 @@
         respondError(reply, 500, std::string(granted.status().message()));
         return;
     }
-    edit({ EntryKind::Key, granted->entry.name, granted->entry, std::nullopt },
-         reply,
-         { { "key", granted->key }, { "name", granted->entry.name } });
+    edit(
+        {EntryKind::Key, granted->entry.name, granted->entry, std::nullopt}, reply, {{"key", granted->key}, {"name", granted->entry.name}});
 }
 
 void OperatorApi::drain(const HttpReply &reply, const std::string &name, bool draining)
@@ -289,7 +287,7 @@
     }
     EndpointEntry endpoint = std::get<EndpointEntry>(*entry);
     endpoint.draining = draining;
-    edit({ EntryKind::Endpoint, name, endpoint, std::nullopt }, reply, {});
+    edit({EntryKind::Endpoint, name, endpoint, std::nullopt}, reply, {});
 }
 
 void OperatorApi::dump(const HttpRequest &request, const HttpReply &reply)
@@ -301,7 +299,7 @@
     }
     gateway_.dumpSidecar(*endpoint, [reply](const absl::StatusOr<std::string> &json) {
         if (json.ok()) {
-            reply.respond(200, { { "Content-Type", "application/json" } }, *json);
+            reply.respond(200, {{"Content-Type", "application/json"}}, *json);
         } else {
             respondError(reply, statusOf(json.status()), std::string(json.status().message()));
         }
@@ -317,9 +315,7 @@
         return;
     }
     respondJson(
-        reply,
-        200,
-        { { "request", trail->publicId }, { "customer", trail->customer }, { "serves", trail->serves }, { "steps", trail->steps } });
+        reply, 200, {{"request", trail->publicId}, {"customer", trail->customer}, {"serves", trail->serves}, {"steps", trail->steps}});
 }
 
 }
--- a/src/chestnutcove/operatorclient.cpp
+++ b/src/chestnutcove/operatorclient.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::chrono::seconds CallTimeout { 30 };
-constexpr std::chrono::seconds ConnectionAge { 60 };
+constexpr std::chrono::seconds CallTimeout {30};
+constexpr std::chrono::seconds ConnectionAge {60};
 
 }
 
@@ -27,7 +27,7 @@
     HttpCall call;
     call.method = method;
     call.url = url_ + path;
-    call.headers = { { "Authorization", "Bearer " + token_ }, { "Content-Type", "application/json" } };
+    call.headers = {{"Authorization", "Bearer " + token_}, {"Content-Type", "application/json"}};
     call.timeout = CallTimeout;
     if (!body.is_null()) {
         call.body = body.dump();
@@ -41,7 +41,7 @@
     if (!result.status.ok()) {
         return absl::UnavailableError("no answer from " + url_ + ": " + std::string(result.status.message()));
     }
-    return OperatorAnswer { result.code, nlohmann::json::parse(result.body, nullptr, false) };
+    return OperatorAnswer {result.code, nlohmann::json::parse(result.body, nullptr, false)};
 }
 
 }
--- a/src/chestnutcove/peerlinks.cpp
+++ b/src/chestnutcove/peerlinks.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds ConnectPatience { 1 };
+constexpr std::chrono::seconds ConnectPatience {1};
 constexpr std::size_t MaxAsked = 64;
 
 }
@@ -88,7 +88,7 @@
             continue;
         }
         if (silent) {
-            log_.warning("link to gateway lost", { { "gateway", peer.name } });
+            log_.warning("link to gateway lost", {{"gateway", peer.name}});
         }
         peer.alive = false;
         peer.asked.clear();
@@ -135,7 +135,7 @@
 {
     (void)now;
     if (!peer.alive) {
-        log_.info("link to gateway up", { { "gateway", state.name() } });
+        log_.info("link to gateway up", {{"gateway", state.name()}});
     }
     peer.alive = true;
     peer.name = state.name();
@@ -156,7 +156,7 @@
     report.storeDown = state.store_down();
     report.hasProof = state.has_proof();
     report.proofAge = Milliseconds(state.proof_age_ms());
-    report.proof = { state.proof_version(), state.proof_epoch() };
+    report.proof = {state.proof_version(), state.proof_epoch()};
     handlers_.onReport(report);
 }
 
@@ -191,7 +191,7 @@
 {
     std::vector<PeerView> result;
     for (const auto &[address, peer] : peers_) {
-        result.push_back({ peer.name, address, peer.alive, peer.lastHeard });
+        result.push_back({peer.name, address, peer.alive, peer.lastHeard});
     }
     return result;
 }
--- a/src/chestnutcove/requestrunner.h
+++ b/src/chestnutcove/requestrunner.h
@@ -79,6 +79,8 @@
         std::unique_ptr<RequestFlow> flow;
         AnswerAssembler answer;
         LinkKey link;
+        /** Of the current attempt's submission. */
+        Tick tick;
         RouteQuery query;
         /** Output tokens that may be sent, over all attempts. */
         double allowance = 0;
@@ -110,7 +112,7 @@
     void fail(ActiveId id, const CallerFailure &failure);
     void failFlow(ActiveId id, const FlowStep &step);
     void remove(ActiveId id);
-    void sendCancel(const LinkKey &link, const RequestId &attempt);
+    void sendCancel(const Active &active);
     void endAttempt(Active &active);
     void learnOutput(const Active &active);
     double expectedOutput(const CallerRequest &caller) const;
--- a/src/chestnutcove/settings.cpp
+++ b/src/chestnutcove/settings.cpp
@@ -12,12 +12,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr NameTable<LogLevel, 4> LogLevelNames { {
-    { LogLevel::Debug, "debug" },
-    { LogLevel::Info, "info" },
-    { LogLevel::Warning, "warning" },
-    { LogLevel::Error, "error" },
-} };
+constexpr NameTable<LogLevel, 4> LogLevelNames {{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}};
 
 constexpr std::size_t MinSecretLength = 16;
 
--- a/src/chestnutcove/settings.h
+++ b/src/chestnutcove/settings.h
@@ -34,31 +34,31 @@
 
 struct GatewayTiming
 {
-    Milliseconds poll { 1000 };
+    Milliseconds poll {1000};
     /** Age of the newest proof that the store was read, past which keyed requests are refused and shares are not spent. */
-    Milliseconds freshness { 4000 };
-    Milliseconds peerInterval { 250 };
-    Milliseconds peerTimeout { 3000 };
-    Milliseconds endpointHeartbeat { 250 };
-    Milliseconds endpointTimeout { 1500 };
-    Milliseconds leaseDuration { 6000 };
+    Milliseconds freshness {4000};
+    Milliseconds peerInterval {250};
+    Milliseconds peerTimeout {3000};
+    Milliseconds endpointHeartbeat {250};
+    Milliseconds endpointTimeout {1500};
+    Milliseconds leaseDuration {6000};
     /** Greatest age at which a sidecar still takes an order or a request as fresh. */
-    Milliseconds orderFreshness { 3000 };
-    Milliseconds grantLifetime { 500 };
-    Milliseconds usageFlush { 2000 };
-    Milliseconds usageWindow { 60000 };
-    Milliseconds usageGrace { 10000 };
-    Milliseconds planInterval { 1000 };
-    Milliseconds drainNotice { 500 };
-    Milliseconds acceptTimeout { 500 };
-    Milliseconds answerSilence { 15000 };
+    Milliseconds orderFreshness {3000};
+    Milliseconds grantLifetime {500};
+    Milliseconds usageFlush {2000};
+    Milliseconds usageWindow {60000};
+    Milliseconds usageGrace {10000};
+    Milliseconds planInterval {1000};
+    Milliseconds drainNotice {500};
+    Milliseconds acceptTimeout {500};
+    Milliseconds answerSilence {15000};
 };
 
 struct PatienceSettings
 {
-    Milliseconds urgent { 2000 };
-    Milliseconds standard { 5000 };
-    Milliseconds bulk { 20000 };
+    Milliseconds urgent {2000};
+    Milliseconds standard {5000};
+    Milliseconds bulk {20000};
 };
 
 struct GatewaySettings
@@ -68,12 +68,12 @@
     ListenSettings callers;
     std::uint64_t callerThreads = 2;
     std::uint64_t maxBodyBytes = 4U << 20U;
-    Milliseconds readTimeout { 15000 };
+    Milliseconds readTimeout {15000};
     ListenSettings operators;
     std::string operatorToken;
     LinkSettings link;
     std::string platformUrl;
-    Milliseconds platformTimeout { 1000 };
+    Milliseconds platformTimeout {1000};
     std::string keyPepper;
     /** Link addresses to try at the start, for a store that is down. */
     std::vector<std::string> peers;
@@ -89,10 +89,10 @@
     Plain,
 };
 
-inline constexpr NameTable<EndpointKind, 2> EndpointKindNames { {
-    { EndpointKind::Engine, "engine" },
-    { EndpointKind::Plain, "plain" },
-} };
+inline constexpr NameTable<EndpointKind, 2> EndpointKindNames {{
+    {EndpointKind::Engine, "engine"},
+    {EndpointKind::Plain, "plain"},
+}};
 
 struct SidecarSettings
 {
@@ -107,11 +107,11 @@
     std::uint64_t maxQueued = 512;
     double prefillTokensPerSecond = 8000;
     double decodeTokensPerSecond = 40;
-    Milliseconds probeInterval { 500 };
-    Milliseconds orderFreshness { 3000 };
-    Milliseconds requestTimeout { 600000 };
-    Milliseconds answerSilence { 10000 };
-    Milliseconds gatewayTimeout { 5000 };
+    Milliseconds probeInterval {500};
+    Milliseconds orderFreshness {3000};
+    Milliseconds requestTimeout {600000};
+    Milliseconds answerSilence {10000};
+    Milliseconds gatewayTimeout {5000};
     LogLevel logLevel = LogLevel::Info;
 };
 
@@ -120,10 +120,10 @@
     Sidecar,
 };
 
-inline constexpr NameTable<SettingsRole, 2> SettingsRoleNames { {
-    { SettingsRole::Gateway, "gateway" },
-    { SettingsRole::Sidecar, "sidecar" },
-} };
+inline constexpr NameTable<SettingsRole, 2> SettingsRoleNames {{
+    {SettingsRole::Gateway, "gateway"},
+    {SettingsRole::Sidecar, "sidecar"},
+}};
 
 /** Reads and checks a file. The error has one line per fault: file, key path, value, what is allowed. */
 absl::StatusOr<GatewaySettings> readGatewaySettings(const std::string &path);
--- a/src/chestnutcove/sidecar.cpp
+++ b/src/chestnutcove/sidecar.cpp
@@ -8,16 +8,16 @@
 
 namespace {
 
-constexpr Milliseconds TickInterval { 20 };
+constexpr Milliseconds TickInterval {20};
 constexpr std::uint32_t UnhealthyAfterProbes = 2;
-constexpr std::chrono::seconds MaxConnectionAge { 60 };
+constexpr std::chrono::seconds MaxConnectionAge {60};
 constexpr std::size_t CacheBlocksPerReply = 2000;
 constexpr int CodeOk = 200;
 constexpr int FirstServerError = 500;
 
 RequestId fromWire(const wire::RequestId &id)
 {
-    return { id.incarnation(), id.number() };
+    return {id.incarnation(), id.number()};
 }
 
 void toWire(const RequestId &id, wire::RequestId *target)
@@ -30,7 +30,7 @@
 {
     SubmittedRequest request;
     request.id = fromWire(submit.id());
-    request.tick = { submit.sidecar_incarnation(), submit.tick_us() };
+    request.tick = {submit.sidecar_incarnation(), submit.tick_us()};
     request.customer = submit.customer();
     const auto lowest = static_cast<std::uint32_t>(ServiceClass::Bulk);
     request.serviceClass = static_cast<ServiceClass>(std::min(submit.service_class(), lowest));
@@ -53,7 +53,7 @@
 
 LinkKeys toLinkKeys(const LinkSettings &settings)
 {
-    return { settings.publicKey, settings.secretKey };
+    return {settings.publicKey, settings.secretKey};
 }
 
 }
@@ -63,7 +63,7 @@
     , context_(context)
     , log_(log)
     , metrics_(metrics)
-    , links_(context, toLinkKeys(settings_.link), { settings_.link.gatewayKey })
+    , links_(context, toLinkKeys(settings_.link), {settings_.link.gatewayKey})
     , server_(links_, [this](const LinkServer::PeerId &peer, const wire::Envelope &message) { receive(peer, message); })
     , client_(context.get_executor(), MaxConnectionAge)
     , endpoint_(client_, settings_)
@@ -83,8 +83,7 @@
     dispatcher_.setHealthy(false);
     tick();
     probe();
-    log_.info("sidecar started",
-              { { "endpoint", settings_.name }, { "dataCentre", settings_.dataCentre }, { "port", std::to_string(port()) } });
+    log_.info("sidecar started", {{"endpoint", settings_.name}, {"dataCentre", settings_.dataCentre}, {"port", std::to_string(port())}});
     return absl::OkStatus();
 }
 
@@ -95,7 +94,7 @@
 
 void Sidecar::stop(std::function<void()> onStopped)
 {
-    log_.info("sidecar draining for its stop", { { "running", std::to_string(dispatcher_.running()) } });
+    log_.info("sidecar draining for its stop", {{"running", std::to_string(dispatcher_.running())}});
     onStopped_ = std::move(onStopped);
     dispatcher_.setDraining(true);
     refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, std::chrono::steady_clock::now()));
@@ -138,9 +137,9 @@
     const SubmittedRequest request = toSubmitted(submit);
     const SubmitDecision decision = dispatcher_.submit(request, now);
     if (decision.evicted) {
-        refuseAll({ { *decision.evicted, RefusalReason::Evicted } });
+        refuseAll({{*decision.evicted, RefusalReason::Evicted}});
     }
-    if (decision.refusal == RefusalReason::Duplicate) {
+    if (decision.refusal == RefusalReason::Duplicate || decision.refusal == RefusalReason::Unknowable) {
         metrics_.counter("submits_repeated_total").add();
         return;
     }
@@ -163,7 +162,8 @@
 void Sidecar::onCancel(const LinkServer::PeerId &peer, const wire::Cancel &cancel)
 {
     const RequestId id = fromWire(cancel.id());
-    const CancelResult result = dispatcher_.cancel(id, std::chrono::steady_clock::now());
+    const Tick tick {cancel.sidecar_incarnation(), cancel.tick_us()};
+    const CancelResult result = dispatcher_.cancel(id, tick, std::chrono::steady_clock::now());
     wire::Envelope reply;
     auto *body = reply.mutable_cancel_reply();
     *body->mutable_id() = cancel.id();
@@ -192,7 +192,7 @@
 void Sidecar::onHeartbeat(const LinkServer::PeerId &peer, const wire::Heartbeat &heartbeat)
 {
     const auto now = std::chrono::steady_clock::now();
-    gateways_[heartbeat.incarnation()] = Gateway { peer, heartbeat.gateway(), now };
+    gateways_[heartbeat.incarnation()] = Gateway {peer, heartbeat.gateway(), now};
     catalogueDrain_ = heartbeat.drain();
     wire::Envelope reply;
     auto *body = reply.mutable_heartbeat_reply();
@@ -214,13 +214,13 @@
 
 void Sidecar::onOrder(const LinkServer::PeerId &peer, const wire::Order &order)
 {
-    const FencedOrder fenced { order.order_id(), order.epoch(), { order.sidecar_incarnation(), order.tick_us() } };
+    const FencedOrder fenced {order.order_id(), order.epoch(), {order.sidecar_incarnation(), order.tick_us()}};
     const OrderVerdict verdict = orders_.check(fenced, std::chrono::steady_clock::now());
     log_.info("order received",
-              { { "action", order.action() },
-                { "argument", order.argument() },
-                { "epoch", std::to_string(order.epoch()) },
-                { "verdict", std::string(nameOf(OrderVerdictNames, verdict)) } });
+              {{"action", order.action()},
+               {"argument", order.argument()},
+               {"epoch", std::to_string(order.epoch())},
+               {"verdict", std::string(nameOf(OrderVerdictNames, verdict))}});
     lastOrder_ = order.action() + " " + order.argument() + ": " + std::string(nameOf(OrderVerdictNames, verdict));
     if (verdict == OrderVerdict::Accepted) {
         carryOut(peer, order);
@@ -245,7 +245,7 @@
         body->set_code(status.ok() ? "done" : "failed");
         body->set_message(std::string(status.message()));
         server_.send(peer, reply);
-        log_.info("order carried out", { { "action", order.action() }, { "result", status.ToString() } });
+        log_.info("order carried out", {{"action", order.action()}, {"result", status.ToString()}});
         dispatchReady();
     });
 }
@@ -462,13 +462,13 @@
             }
         }
         for (const RequestId &id : orphans) {
-            if (dispatcher_.cancel(id, now) == CancelResult::NotRun) {
+            if (dispatcher_.cancel(id, clock_.issue(now), now) == CancelResult::NotRun) {
                 requests_.erase(id);
             } else {
                 abandon(id);
             }
         }
-        log_.warning("gateway silent; its requests were given up", { { "requests", std::to_string(orphans.size()) } });
+        log_.warning("gateway silent; its requests were given up", {{"requests", std::to_string(orphans.size())}});
     }
 }
 
@@ -483,7 +483,7 @@
         const bool healthy = state.ok() || (wasHealthy && failedProbes_ < UnhealthyAfterProbes);
         dispatcher_.setHealthy(healthy);
         if (healthy != wasHealthy) {
-            log_.warning(healthy ? "endpoint healthy" : "endpoint unhealthy", { { "endpoint", settings_.name } });
+            log_.warning(healthy ? "endpoint healthy" : "endpoint unhealthy", {{"endpoint", settings_.name}});
         }
         if (!healthy) {
             refuseAll(dispatcher_.refuseQueued(RefusalReason::Unhealthy, std::chrono::steady_clock::now()));
@@ -546,33 +546,33 @@
     nlohmann::json gateways = nlohmann::json::array();
     const auto now = std::chrono::steady_clock::now();
     for (const auto &[incarnation, gateway] : gateways_) {
-        gateways.push_back({ { "name", gateway.name },
-                             { "incarnation", incarnation },
-                             { "silentMs", std::chrono::duration_cast<Milliseconds>(now - gateway.lastHeard).count() } });
+        gateways.push_back({{"name", gateway.name},
+                            {"incarnation", incarnation},
+                            {"silentMs", std::chrono::duration_cast<Milliseconds>(now - gateway.lastHeard).count()}});
     }
-    return { { "process", "sidecar" },
-             { "name", settings_.name },
-             { "dataCentre", settings_.dataCentre },
-             { "incarnation", clock_.incarnation() },
-             { "endpoint",
-               { { "url", settings_.endpointUrl },
-                 { "healthy", dispatcher_.isHealthy() },
-                 { "draining", dispatcher_.isDraining() },
-                 { "catalogueDraining", catalogueDrain_ },
-                 { "role", state_.role },
-                 { "model", state_.model },
-                 { "failedProbes", failedProbes_ } } },
-             { "queue",
-               { { "queued", dispatcher_.queued() },
-                 { "queuedSeconds", dispatcher_.queuedCost() },
-                 { "running", dispatcher_.running() },
-                 { "slots", dispatcher_.slots() },
-                 { "remembered", dispatcher_.remembered() },
-                 { "prefillTokensPerSecond", dispatcher_.prefillTokensPerSecond() },
-                 { "decodeTokensPerSecond", dispatcher_.decodeTokensPerSecond() } } },
-             { "orders", { { "highestEpoch", orders_.highestEpoch() }, { "busy", orders_.isBusy() }, { "last", lastOrder_ } } },
-             { "cache", { { "blocks", cache_.size() }, { "nextEvent", cache_.nextEvent() } } },
-             { "gateways", std::move(gateways) } };
+    return {{"process", "sidecar"},
+            {"name", settings_.name},
+            {"dataCentre", settings_.dataCentre},
+            {"incarnation", clock_.incarnation()},
+            {"endpoint",
+             {{"url", settings_.endpointUrl},
+              {"healthy", dispatcher_.isHealthy()},
+              {"draining", dispatcher_.isDraining()},
+              {"catalogueDraining", catalogueDrain_},
+              {"role", state_.role},
+              {"model", state_.model},
+              {"failedProbes", failedProbes_}}},
+            {"queue",
+             {{"queued", dispatcher_.queued()},
+              {"queuedSeconds", dispatcher_.queuedCost()},
+              {"running", dispatcher_.running()},
+              {"slots", dispatcher_.slots()},
+              {"remembered", dispatcher_.remembered()},
+              {"prefillTokensPerSecond", dispatcher_.prefillTokensPerSecond()},
+              {"decodeTokensPerSecond", dispatcher_.decodeTokensPerSecond()}}},
+            {"orders", {{"highestEpoch", orders_.highestEpoch()}, {"busy", orders_.isBusy()}, {"last", lastOrder_}}},
+            {"cache", {{"blocks", cache_.size()}, {"nextEvent", cache_.nextEvent()}}},
+            {"gateways", std::move(gateways)}};
 }
 
 }
--- a/src/chestnutcove/usagereporter.cpp
+++ b/src/chestnutcove/usagereporter.cpp
@@ -116,9 +116,8 @@
     TableWrite write;
     write.attempt = newAttempt();
     write.witnessKey = gatewayRow(flush->window);
-    write.transaction.conditions = { { sealedKey(flush->window), 0 } };
-    write.transaction.puts
-        = { { write.witnessKey, usageToText(flush->figures, write.attempt) }, { touchKey(flush->window), write.attempt } };
+    write.transaction.conditions = {{sealedKey(flush->window), 0}};
+    write.transaction.puts = {{write.witnessKey, usageToText(flush->figures, write.attempt)}, {touchKey(flush->window), write.attempt}};
     writer_.write(std::move(write), [this, flush = *flush](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
@@ -138,7 +137,7 @@
 void UsageReporter::onFlushConflict(const UsageFlush &flush)
 {
     const std::string row = gatewayRow(flush.window);
-    table_.get({ sealedKey(flush.window), row }, [this, row, window = flush.window](const absl::StatusOr<TableRows> &rows) {
+    table_.get({sealedKey(flush.window), row}, [this, row, window = flush.window](const absl::StatusOr<TableRows> &rows) {
         if (!rows.ok() || versionOf(*rows, sealedKey(window)) == 0) {
             ledger_.flushUnknown();
             return;
@@ -146,7 +145,7 @@
         const auto own = rows->find(row);
         const auto stored = own == rows->end() ? absl::StatusOr<CustomerUsage>(CustomerUsage {}) : usageFromText(own->second.value);
         if (!stored.ok()) {
-            log_.error("usage row unreadable", { { "row", row } });
+            log_.error("usage row unreadable", {{"row", row}});
             ledger_.flushUnknown();
             return;
         }
@@ -169,7 +168,7 @@
         seal(next);
         return;
     }
-    table_.get({ ProgressKey }, [this, epoch](const absl::StatusOr<TableRows> &rows) {
+    table_.get({ProgressKey}, [this, epoch](const absl::StatusOr<TableRows> &rows) {
         step_ = Step::Idle;
         if (!rows.ok()) {
             return;
@@ -177,13 +176,13 @@
         const auto it = rows->find(ProgressKey);
         const auto json = it == rows->end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
         progressEpoch_ = epoch;
-        progress_ = json.is_object() ? json.value("reported", std::uint64_t { 0 }) : currentWindow() - FirstLookBack;
+        progress_ = json.is_object() ? json.value("reported", std::uint64_t {0}) : currentWindow() - FirstLookBack;
     });
 }
 
 void UsageReporter::seal(WindowNumber window)
 {
-    table_.get({ sealedKey(window), touchKey(window) }, [this, window](const absl::StatusOr<TableRows> &heads) {
+    table_.get({sealedKey(window), touchKey(window)}, [this, window](const absl::StatusOr<TableRows> &heads) {
         if (!heads.ok()) {
             step_ = Step::Idle;
             return;
@@ -213,7 +212,7 @@
         }
         const auto usage = usageFromText(row.value);
         if (!usage.ok()) {
-            log_.error("usage row unreadable; the window is not sealed", { { "row", key } });
+            log_.error("usage row unreadable; the window is not sealed", {{"row", key}});
             step_ = Step::Idle;
             return;
         }
@@ -222,8 +221,8 @@
     TableWrite write;
     write.attempt = newAttempt();
     write.witnessKey = sealedKey(window);
-    write.transaction.conditions = { { write.witnessKey, 0 }, { touchKey(window), versionOf(rows, touchKey(window)) } };
-    write.transaction.puts = { { write.witnessKey, usageToText(total, write.attempt) } };
+    write.transaction.conditions = {{write.witnessKey, 0}, {touchKey(window), versionOf(rows, touchKey(window))}};
+    write.transaction.puts = {{write.witnessKey, usageToText(total, write.attempt)}};
     writer_.write(std::move(write), [this, window](CommitOutcome outcome) {
         if (outcome == CommitOutcome::Committed) {
             report(window);
@@ -235,7 +234,7 @@
 
 void UsageReporter::report(WindowNumber window)
 {
-    table_.get({ sealedKey(window), intentKey(window) }, [this, window](const absl::StatusOr<TableRows> &rows) {
+    table_.get({sealedKey(window), intentKey(window)}, [this, window](const absl::StatusOr<TableRows> &rows) {
         const bool sealed = rows.ok() && rows->contains(sealedKey(window));
         if (!sealed) {
             step_ = Step::Idle;
@@ -243,7 +242,7 @@
         }
         const auto usage = usageFromText(rows->at(sealedKey(window)).value);
         if (!usage.ok()) {
-            log_.error("sealed usage unreadable", { { "window", std::to_string(window) } });
+            log_.error("sealed usage unreadable", {{"window", std::to_string(window)}});
             step_ = Step::Idle;
             return;
         }
@@ -256,7 +255,7 @@
     const std::uint64_t epoch = lease_.keeper().epoch();
     const auto it = rows.find(intentKey(window));
     const auto json = it == rows.end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
-    const std::uint64_t intended = json.is_object() ? json.value("epoch", std::uint64_t { 0 }) : 0;
+    const std::uint64_t intended = json.is_object() ? json.value("epoch", std::uint64_t {0}) : 0;
     if (intended > epoch) {
         step_ = Step::Idle;
         return;
@@ -268,8 +267,8 @@
     TableWrite write;
     write.attempt = newAttempt();
     write.witnessKey = intentKey(window);
-    write.transaction.conditions = { { write.witnessKey, versionOf(rows, write.witnessKey) } };
-    write.transaction.puts = { { write.witnessKey, nlohmann::json { { "epoch", epoch }, { "attempt", write.attempt } }.dump() } };
+    write.transaction.conditions = {{write.witnessKey, versionOf(rows, write.witnessKey)}};
+    write.transaction.puts = {{write.witnessKey, nlohmann::json {{"epoch", epoch}, {"attempt", write.attempt}}.dump()}};
     writer_.write(std::move(write), [this, window, figures](CommitOutcome outcome) {
         if (outcome == CommitOutcome::Committed) {
             send(window, figures);
@@ -291,21 +290,20 @@
     HttpCall call;
     call.method = "POST";
     call.url = settings_.platformUrl + "/v1/usage-reports";
-    call.headers = { { "Content-Type", "application/json" } };
+    call.headers = {{"Content-Type", "application/json"}};
     call.timeout = std::min(settings_.platformTimeout, left);
-    call.body = nlohmann::json {
-        { "window", window },
-        { "windowMs", settings_.timing.usageWindow.count() },
-        { "epoch", lease_.keeper().epoch() },
-        { "reporter", settings_.name },
-        { "customers", body["customers"] }
-    }.dump();
+    call.body = nlohmann::json {{"window", window},
+                                {"windowMs", settings_.timing.usageWindow.count()},
+                                {"epoch", lease_.keeper().epoch()},
+                                {"reporter", settings_.name},
+                                {"customers", body["customers"]}}
+                    .dump();
     client_.send(std::move(call), [this, window](const HttpResult &result) {
         if (result.status.ok() && result.code == CodeOk) {
             reported(window);
         } else {
             // The same figures are sent again.
-            log_.warning("usage report got no answer", { { "window", std::to_string(window) } });
+            log_.warning("usage report got no answer", {{"window", std::to_string(window)}});
             step_ = Step::Idle;
         }
     });
@@ -316,9 +314,9 @@
     const auto end = (window + 1) * settings_.timing.usageWindow;
     const auto late = std::chrono::system_clock::now().time_since_epoch() - end;
     metrics_.distribution("usage_report_delay_seconds").add(std::chrono::duration<double>(late).count());
-    log_.info("usage window reported", { { "window", std::to_string(window) }, { "epoch", std::to_string(lease_.keeper().epoch()) } });
+    log_.info("usage window reported", {{"window", std::to_string(window)}, {"epoch", std::to_string(lease_.keeper().epoch())}});
     TableTransaction transaction;
-    transaction.puts = { { ProgressKey, nlohmann::json { { "reported", window } }.dump() } };
+    transaction.puts = {{ProgressKey, nlohmann::json {{"reported", window}}.dump()}};
     table_.commit(transaction, [this, window](CommitOutcome) {
         // Where the row was not written, a later holder reports the same figures again.
         progress_ = window;
@@ -336,9 +334,9 @@
             return;
         }
         TableTransaction transaction;
-        transaction.puts = { { touchKey(window), std::nullopt }, { intentKey(window), std::nullopt } };
+        transaction.puts = {{touchKey(window), std::nullopt}, {intentKey(window), std::nullopt}};
         for (const auto &[key, row] : *rows) {
-            transaction.puts.push_back({ key, std::nullopt });
+            transaction.puts.push_back({key, std::nullopt});
         }
         table_.commit(transaction, [](CommitOutcome) {});
     });
@@ -348,11 +346,11 @@
 {
     nlohmann::json unstored = nlohmann::json::object();
     for (const auto &[customer, figures] : ledger_.unstored()) {
-        unstored[customer] = { { "requests", figures.requests }, { "outputTokens", figures.outputTokens } };
+        unstored[customer] = {{"requests", figures.requests}, {"outputTokens", figures.outputTokens}};
     }
-    return { { "currentWindow", currentWindow() },
-             { "lastReported", progress_ ? nlohmann::json(*progress_) : nlohmann::json() },
-             { "unstored", unstored } };
+    return {{"currentWindow", currentWindow()},
+            {"lastReported", progress_ ? nlohmann::json(*progress_) : nlohmann::json()},
+            {"unstored", unstored}};
 }
 
 }
--- a/src/libauthority/freshness.cpp
+++ b/src/libauthority/freshness.cpp
@@ -19,16 +19,21 @@
 
 Tick TickClock::issue(TimePoint now) const
 {
-    return { incarnation_, toMicroseconds(now) };
+    return {incarnation_, toMicroseconds(now)};
 }
 
 bool TickClock::isFresh(const Tick &tick, TimePoint now) const
+{
+    return isYoungerThan(maxAge_, tick, now);
+}
+
+bool TickClock::isYoungerThan(Duration age, const Tick &tick, TimePoint now) const
 {
     const std::uint64_t current = toMicroseconds(now);
     if (tick.incarnation != incarnation_ || tick.microseconds > current) {
         return false;
     }
-    return std::chrono::microseconds(current - tick.microseconds) <= maxAge_;
+    return std::chrono::microseconds(current - tick.microseconds) <= age;
 }
 
 }
--- a/src/libauthority/freshness.h
+++ b/src/libauthority/freshness.h
@@ -27,6 +27,8 @@
 
     Tick issue(TimePoint now) const;
     bool isFresh(const Tick &tick, TimePoint now) const;
+    /** Whether the tick is of this incarnation and at most that old. */
+    bool isYoungerThan(Duration age, const Tick &tick, TimePoint now) const;
     std::uint64_t incarnation() const;
     Duration maxAge() const;
 
--- a/src/libauthority/ordergate.h
+++ b/src/libauthority/ordergate.h
@@ -28,13 +28,13 @@
     Busy,
 };
 
-inline constexpr NameTable<OrderVerdict, 5> OrderVerdictNames { {
-    { OrderVerdict::Accepted, "accepted" },
-    { OrderVerdict::Stale, "stale" },
-    { OrderVerdict::Superseded, "superseded" },
-    { OrderVerdict::Repeated, "repeated" },
-    { OrderVerdict::Busy, "busy" },
-} };
+inline constexpr NameTable<OrderVerdict, 5> OrderVerdictNames {{
+    {OrderVerdict::Accepted, "accepted"},
+    {OrderVerdict::Stale, "stale"},
+    {OrderVerdict::Superseded, "superseded"},
+    {OrderVerdict::Repeated, "repeated"},
+    {OrderVerdict::Busy, "busy"},
+}};
 
 struct FencedOrder
 {
--- a/src/libbase/documentreader.cpp
+++ b/src/libbase/documentreader.cpp
@@ -31,7 +31,7 @@
 
 std::optional<std::chrono::milliseconds> parseDuration(const std::string &text)
 {
-    constexpr std::array<std::pair<std::string_view, double>, 4> Units { { { "ms", 1.0 }, { "s", 1e3 }, { "min", 6e4 }, { "h", 3.6e6 } } };
+    constexpr std::array<std::pair<std::string_view, double>, 4> Units {{{"ms", 1.0}, {"s", 1e3}, {"min", 6e4}, {"h", 3.6e6}}};
     double amount = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), amount);
     if (parsed.ec != std::errc() || amount < 0) {
@@ -245,7 +245,7 @@
 DocumentReader DocumentReader::object(const std::string &key)
 {
     const auto *value = find(key, false, "");
-    return { value == nullptr ? emptyObject() : *value, *faults_, path(key) };
+    return {value == nullptr ? emptyObject() : *value, *faults_, path(key)};
 }
 
 std::vector<DocumentReader> DocumentReader::objects(const std::string &key)
--- a/src/libcatalogue/callerkey.cpp
+++ b/src/libcatalogue/callerkey.cpp
@@ -27,7 +27,7 @@
          secret.size(),
          digest.data(),
          &length);
-    return absl::BytesToHexString({ reinterpret_cast<const char *>(digest.data()), length });
+    return absl::BytesToHexString({reinterpret_cast<const char *>(digest.data()), length});
 }
 
 absl::StatusOr<std::string> randomHex(std::size_t bytes)
@@ -50,7 +50,7 @@
     }
     GrantedKey result;
     result.key = std::string(Prefix) + *name + "-" + *secret;
-    result.entry = KeyEntry { *name, customer, keyedHash(*secret, pepper) };
+    result.entry = KeyEntry {*name, customer, keyedHash(*secret, pepper)};
     return result;
 }
 
--- a/src/libcatalogue/entry.cpp
+++ b/src/libcatalogue/entry.cpp
@@ -86,41 +86,41 @@
 
 nlohmann::json documentOf(const CustomerEntry &entry)
 {
-    return { { "rate", entry.rate }, { "burst", entry.burst }, { "weight", entry.weight } };
+    return {{"rate", entry.rate}, {"burst", entry.burst}, {"weight", entry.weight}};
 }
 
 nlohmann::json documentOf(const ModelEntry &entry)
 {
-    return { { "owner", entry.owner },
-             { "class", nameOf(ServiceClassNames, entry.serviceClass) },
-             { "maxPromptTokens", entry.maxPromptTokens },
-             { "maxOutputTokens", entry.maxOutputTokens },
-             { "customers", entry.customers } };
+    return {{"owner", entry.owner},
+            {"class", nameOf(ServiceClassNames, entry.serviceClass)},
+            {"maxPromptTokens", entry.maxPromptTokens},
+            {"maxOutputTokens", entry.maxOutputTokens},
+            {"customers", entry.customers}};
 }
 
 nlohmann::json documentOf(const ServiceEntry &entry)
 {
-    return { { "owner", entry.owner },
-             { "class", nameOf(ServiceClassNames, entry.serviceClass) },
-             { "pathPrefix", entry.pathPrefix },
-             { "open", entry.open },
-             { "safeMethods", entry.safeMethods },
-             { "tokensPerCall", entry.tokensPerCall },
-             { "customers", entry.customers } };
+    return {{"owner", entry.owner},
+            {"class", nameOf(ServiceClassNames, entry.serviceClass)},
+            {"pathPrefix", entry.pathPrefix},
+            {"open", entry.open},
+            {"safeMethods", entry.safeMethods},
+            {"tokensPerCall", entry.tokensPerCall},
+            {"customers", entry.customers}};
 }
 
 nlohmann::json documentOf(const EndpointEntry &entry)
 {
-    return { { "dataCentre", entry.dataCentre },
-             { "sidecar", entry.sidecar },
-             { "serves", entry.serves },
-             { "role", nameOf(EndpointRoleNames, entry.role) },
-             { "draining", entry.draining } };
+    return {{"dataCentre", entry.dataCentre},
+            {"sidecar", entry.sidecar},
+            {"serves", entry.serves},
+            {"role", nameOf(EndpointRoleNames, entry.role)},
+            {"draining", entry.draining}};
 }
 
 nlohmann::json documentOf(const KeyEntry &entry)
 {
-    return { { "customer", entry.customer }, { "hash", entry.hash } };
+    return {{"customer", entry.customer}, {"hash", entry.hash}};
 }
 
 }
--- a/src/libcatalogue/entry.h
+++ b/src/libcatalogue/entry.h
@@ -23,13 +23,13 @@
     Key,
 };
 
-inline constexpr NameTable<EntryKind, 5> EntryKindNames { {
-    { EntryKind::Customer, "customer" },
-    { EntryKind::Model, "model" },
-    { EntryKind::Service, "service" },
-    { EntryKind::Endpoint, "endpoint" },
-    { EntryKind::Key, "key" },
-} };
+inline constexpr NameTable<EntryKind, 5> EntryKindNames {{
+    {EntryKind::Customer, "customer"},
+    {EntryKind::Model, "model"},
+    {EntryKind::Service, "service"},
+    {EntryKind::Endpoint, "endpoint"},
+    {EntryKind::Key, "key"},
+}};
 
 /** Order of urgency; lower values are served first. */
 enum class ServiceClass {
@@ -38,11 +38,11 @@
     Bulk,
 };
 
-inline constexpr NameTable<ServiceClass, 3> ServiceClassNames { {
-    { ServiceClass::Urgent, "urgent" },
-    { ServiceClass::Standard, "standard" },
-    { ServiceClass::Bulk, "bulk" },
-} };
+inline constexpr NameTable<ServiceClass, 3> ServiceClassNames {{
+    {ServiceClass::Urgent, "urgent"},
+    {ServiceClass::Standard, "standard"},
+    {ServiceClass::Bulk, "bulk"},
+}};
 
 /** What an endpoint runs. */
 enum class EndpointRole {
@@ -52,12 +52,12 @@
     Plain,
 };
 
-inline constexpr NameTable<EndpointRole, 4> EndpointRoleNames { {
-    { EndpointRole::Mixed, "mixed" },
-    { EndpointRole::Prefill, "prefill" },
-    { EndpointRole::Decode, "decode" },
-    { EndpointRole::Plain, "plain" },
-} };
+inline constexpr NameTable<EndpointRole, 4> EndpointRoleNames {{
+    {EndpointRole::Mixed, "mixed"},
+    {EndpointRole::Prefill, "prefill"},
+    {EndpointRole::Decode, "decode"},
+    {EndpointRole::Plain, "plain"},
+}};
 
 struct CustomerEntry
 {
--- a/src/libdelivery/answerassembler.cpp
+++ b/src/libdelivery/answerassembler.cpp
@@ -10,7 +10,8 @@
 {
     const auto it = source.find(key);
     if (it != source.end() && it->is_string()) {
-        target[key] = target.value(key, std::string()) + it->get<std::string>();
+        nlohmann::json &text = target[key];
+        text = (text.is_string() ? text.get<std::string>() : std::string()) + it->get<std::string>();
     }
 }
 
@@ -60,7 +61,7 @@
 {
     for (const auto &call : calls) {
         nlohmann::json &target = choice.toolCalls[call.value("index", 0)];
-        for (const char *key : { "id", "type" }) {
+        for (const char *key : {"id", "type"}) {
             if (call.contains(key)) {
                 target[key] = call[key];
             }
@@ -78,14 +79,14 @@
     readPending();
     nlohmann::json result = nlohmann::json::array();
     for (const auto &[index, choice] : choices_) {
-        nlohmann::json message { { "role", choice.role }, { "content", choice.content } };
+        nlohmann::json message {{"role", choice.role}, {"content", choice.content}};
         if (!choice.toolCalls.empty()) {
             message["tool_calls"] = nlohmann::json::array();
             for (const auto &[position, call] : choice.toolCalls) {
                 message["tool_calls"].push_back(call);
             }
         }
-        result.push_back({ { "index", index }, { "message", std::move(message) }, { "finish_reason", choice.finishReason } });
+        result.push_back({{"index", index}, {"message", std::move(message)}, {"finish_reason", choice.finishReason}});
     }
     return result;
 }
--- a/src/libdelivery/dispatcher.cpp
+++ b/src/libdelivery/dispatcher.cpp
@@ -32,6 +32,11 @@
         decision.refusal = known->second.state == State::NotRun ? RefusalReason::Cancelled : RefusalReason::Duplicate;
         return decision;
     }
+    if (!clock_.isYoungerThan(RememberFactor * clock_.maxAge(), request.tick, now)) {
+        // A copy of it may have run and been forgotten, here or in the process before.
+        decision.refusal = RefusalReason::Unknowable;
+        return decision;
+    }
     if (!clock_.isFresh(request.tick, now)) {
         decision.refusal = RefusalReason::Stale;
     } else if (draining_) {
@@ -43,6 +48,7 @@
         decision.retryAfter = predictedWait(request.serviceClass) - request.queueTimeout;
     }
     if (decision.refusal != RefusalReason::None) {
+        refuseForGood(request.id, now);
         return decision;
     }
     if (queue_.size() >= options_.maxQueued) {
@@ -50,6 +56,7 @@
         if (!candidate) {
             decision.refusal = RefusalReason::QueueFull;
             decision.retryAfter = predictedWait(request.serviceClass);
+            refuseForGood(request.id, now);
             return decision;
         }
         decision.evicted = handles_.at(*candidate);
@@ -62,14 +69,14 @@
     record.handle = ++lastHandle_;
     record.cost = costOf(request);
     handles_[record.handle] = request.id;
-    queue_.push(QueuedRequest { record.handle,
-                                request.customer,
-                                request.serviceClass,
-                                request.weight,
-                                workOf(request),
-                                record.cost,
-                                now,
-                                now + request.queueTimeout });
+    queue_.push(QueuedRequest {record.handle,
+                               request.customer,
+                               request.serviceClass,
+                               request.weight,
+                               workOf(request),
+                               record.cost,
+                               now,
+                               now + request.queueTimeout});
     records_.emplace(request.id, std::move(record));
     return decision;
 }
@@ -108,12 +115,15 @@
     settle(id, it->second, State::Ran, now);
 }
 
-CancelResult Dispatcher::cancel(const RequestId &id, TimePoint now)
+CancelResult Dispatcher::cancel(const RequestId &id, const Tick &tick, TimePoint now)
 {
     forget(now);
     const auto it = records_.find(id);
     if (it == records_.end()) {
-        settle(id, records_[id], State::NotRun, now);
+        if (!clock_.isYoungerThan(RememberFactor * clock_.maxAge(), tick, now)) {
+            return CancelResult::Ran;
+        }
+        refuseForGood(id, now);
         return CancelResult::NotRun;
     }
     Record &record = it->second;
@@ -131,7 +141,7 @@
     for (const QueuedRequest &request : queue_.takeExpired(now)) {
         const RequestId id = handles_.at(request.handle);
         settle(id, records_.at(id), State::NotRun, now);
-        result.push_back({ id, RefusalReason::Expired });
+        result.push_back({id, RefusalReason::Expired});
     }
     return result;
 }
@@ -142,7 +152,7 @@
     for (const QueuedRequest &request : queue_.takeExpired(TimePoint::max())) {
         const RequestId id = handles_.at(request.handle);
         settle(id, records_.at(id), State::NotRun, now);
-        result.push_back({ id, reason });
+        result.push_back({id, reason});
     }
     return result;
 }
@@ -175,6 +185,11 @@
         + request.expectedOutputTokens / std::max(decodeTogether, 1.0);
 }
 
+void Dispatcher::refuseForGood(const RequestId &id, TimePoint now)
+{
+    settle(id, records_[id], State::NotRun, now);
+}
+
 void Dispatcher::settle(const RequestId &id, Record &record, State state, TimePoint now)
 {
     record.state = state;
--- a/src/libdelivery/dispatcher.h
+++ b/src/libdelivery/dispatcher.h
@@ -24,6 +24,8 @@
     None,
     Stale,
     Duplicate,
+    /** Too old to tell whether it ran; it gets no answer. */
+    Unknowable,
     Cancelled,
     QueueFull,
     DeadlineUnreachable,
@@ -33,18 +35,19 @@
     Evicted,
 };
 
-inline constexpr NameTable<RefusalReason, 10> RefusalReasonNames { {
-    { RefusalReason::None, "none" },
-    { RefusalReason::Stale, "stale" },
-    { RefusalReason::Duplicate, "duplicate" },
-    { RefusalReason::Cancelled, "cancelled" },
-    { RefusalReason::QueueFull, "queue_full" },
-    { RefusalReason::DeadlineUnreachable, "deadline_unreachable" },
-    { RefusalReason::Expired, "expired" },
-    { RefusalReason::Draining, "draining" },
-    { RefusalReason::Unhealthy, "unhealthy" },
-    { RefusalReason::Evicted, "evicted" },
-} };
+inline constexpr NameTable<RefusalReason, 11> RefusalReasonNames {{
+    {RefusalReason::None, "none"},
+    {RefusalReason::Stale, "stale"},
+    {RefusalReason::Duplicate, "duplicate"},
+    {RefusalReason::Unknowable, "unknowable"},
+    {RefusalReason::Cancelled, "cancelled"},
+    {RefusalReason::QueueFull, "queue_full"},
+    {RefusalReason::DeadlineUnreachable, "deadline_unreachable"},
+    {RefusalReason::Expired, "expired"},
+    {RefusalReason::Draining, "draining"},
+    {RefusalReason::Unhealthy, "unhealthy"},
+    {RefusalReason::Evicted, "evicted"},
+}};
 
 struct DispatcherOptions
 {
@@ -101,7 +104,11 @@
     std::optional<RequestId> dispatch(TimePoint now);
     /** The endpoint finished or failed a dispatched request. */
     void finished(const RequestId &id, double promptTokens, double outputTokens, TimePoint now);
-    CancelResult cancel(const RequestId &id, TimePoint now);
+    /**
+     * Stops a request that was not dispatched. An id that is not known counts as not run only while the tick of its submission is so young
+     * that the id can't have been forgotten.
+     */
+    CancelResult cancel(const RequestId &id, const Tick &tick, TimePoint now);
     /** Requests whose time in the queue is over; they were not run. */
     std::vector<Refusal> expire(TimePoint now);
     /** Refuses everything queued, for an endpoint that drains or fails; running requests go on. */
@@ -144,6 +151,8 @@
     };
 
     double costOf(const SubmittedRequest &request) const;
+    /** Keeps a copy of the message from being dispatched after the request was said to be not run. */
+    void refuseForGood(const RequestId &id, TimePoint now);
     void settle(const RequestId &id, Record &record, State state, TimePoint now);
     void forget(TimePoint now);
 
--- a/src/libdelivery/fairqueue.cpp
+++ b/src/libdelivery/fairqueue.cpp
@@ -31,7 +31,7 @@
     if (customer.requests.empty()) {
         const double floor = queue.active.empty() ? queue.floor : queue.active.begin()->first.first;
         customer.served = std::max(customer.served, floor);
-        queue.active[{ customer.served, request.customer }] = &customer;
+        queue.active[{customer.served, request.customer}] = &customer;
     }
     added(queue, request);
     customer.requests.push_back(std::move(request));
@@ -75,7 +75,7 @@
     customer.requests.pop_front();
     customer.served += request.tokens / request.weight;
     if (!customer.requests.empty()) {
-        queue.active[{ customer.served, request.customer }] = &customer;
+        queue.active[{customer.served, request.customer}] = &customer;
     }
     removed(queue, request);
     return request;
@@ -91,18 +91,18 @@
     CustomerQueue &customerQueue = it->second;
     const bool waiting = !customerQueue.requests.empty();
     if (waiting) {
-        queue.active.erase({ customerQueue.served, customer });
+        queue.active.erase({customerQueue.served, customer});
     }
     customerQueue.served = std::max(customerQueue.served + tokens / weight, queue.floor);
     if (waiting) {
-        queue.active[{ customerQueue.served, customer }] = &customerQueue;
+        queue.active[{customerQueue.served, customer}] = &customerQueue;
     }
 }
 
 void FairQueue::deactivateIfEmpty(ClassQueue &queue, const std::string &customer, CustomerQueue &customerQueue)
 {
     if (customerQueue.requests.empty()) {
-        queue.active.erase({ customerQueue.served, customer });
+        queue.active.erase({customerQueue.served, customer});
     }
 }
 
--- a/src/libdelivery/requestflow.cpp
+++ b/src/libdelivery/requestflow.cpp
@@ -59,7 +59,7 @@
         return lost(now);
     }
     phase_ = Phase::Done;
-    return { FlowAction::Finish };
+    return {FlowAction::Finish};
 }
 
 FlowStep RequestFlow::endpointUnreachable(TimePoint now)
@@ -96,7 +96,7 @@
     }
     phase_ = Phase::Cancelling;
     deadline_ = now + options_.cancelTimeout;
-    return { FlowAction::Cancel };
+    return {FlowAction::Cancel};
 }
 
 FlowStep RequestFlow::cancelReply(bool ran, std::uint64_t sidecarIncarnation, TimePoint now)
@@ -143,7 +143,7 @@
     if (attempts_ >= options_.maxAttempts || (now >= routeDeadline_ && !mayHaveRun_)) {
         return fail(mayHaveRun_ ? FlowFailure::EndpointFailed : FlowFailure::NoCapacity, retryAfter);
     }
-    return { FlowAction::Route, FlowFailure::None, false, retryAfter };
+    return {FlowAction::Route, FlowFailure::None, false, retryAfter};
 }
 
 FlowStep RequestFlow::fail(FlowFailure failure, Duration retryAfter)
@@ -151,7 +151,7 @@
     phase_ = Phase::Done;
     deadline_ = TimePoint::max();
     const bool notRun = !mayHaveRun_ && failure == FlowFailure::NoCapacity;
-    return { FlowAction::Fail, failure, notRun, retryAfter };
+    return {FlowAction::Fail, failure, notRun, retryAfter};
 }
 
 void RequestFlow::extend(TimePoint now)
--- a/src/libdelivery/requestflow.h
+++ b/src/libdelivery/requestflow.h
@@ -41,13 +41,13 @@
     EndpointRefused,
 };
 
-inline constexpr NameTable<FlowFailure, 5> FlowFailureNames { {
-    { FlowFailure::None, "none" },
-    { FlowFailure::NoCapacity, "no_capacity" },
-    { FlowFailure::EndpointFailed, "endpoint_failed" },
-    { FlowFailure::OutcomeUnknown, "outcome_unknown" },
-    { FlowFailure::EndpointRefused, "endpoint_refused" },
-} };
+inline constexpr NameTable<FlowFailure, 5> FlowFailureNames {{
+    {FlowFailure::None, "none"},
+    {FlowFailure::NoCapacity, "no_capacity"},
+    {FlowFailure::EndpointFailed, "endpoint_failed"},
+    {FlowFailure::OutcomeUnknown, "outcome_unknown"},
+    {FlowFailure::EndpointRefused, "endpoint_refused"},
+}};
 
 struct FlowStep
 {
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -38,14 +38,14 @@
 struct ServerTraits : public restinio::default_traits_t
 {
     using connection_state_listener_t = ConnectionListener;
-    static constexpr bool use_connection_count_limiter = false;
+    static constexpr bool use_connection_count_limiter = false; // NOLINT(readability-identifier-naming)
 };
 
 using ChunkedResponse = restinio::response_builder_t<restinio::chunked_output_t>;
 
 restinio::http_status_line_t statusLine(int status)
 {
-    const auto code = restinio::http_status_code_t { static_cast<std::uint16_t>(status) };
+    const auto code = restinio::http_status_code_t {static_cast<std::uint16_t>(status)};
     std::string reason = "Status";
     switch (status) {
     case 200:
@@ -84,7 +84,7 @@
     default:
         break;
     }
-    return { code, reason };
+    return {code, reason};
 }
 
 HttpRequest toRequest(const restinio::request_t &source)
--- a/src/liblimits/customerlimiter.cpp
+++ b/src/liblimits/customerlimiter.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** A holder that had nothing is not asked again before this time. */
-constexpr Milliseconds EmptyHolderPause { 20 };
+constexpr Milliseconds EmptyHolderPause {20};
 constexpr double DemandTimeConstant = 1.0;
 /** Lots with less than this part of their life left go back to their holder. */
 constexpr double ReturnPart = 0.3;
@@ -57,7 +57,7 @@
     noteDemand(request.promptTokens + request.expectedOutputTokens, now);
     const auto place = std::find_if(
         waiting_.begin(), waiting_.end(), [&request](const Waiting &other) { return other.request.serviceClass > request.serviceClass; });
-    waiting_.insert(place, Waiting { request, now });
+    waiting_.insert(place, Waiting {request, now});
 }
 
 void CustomerLimiter::withdraw(std::uint64_t id)
@@ -118,8 +118,8 @@
     }
     const Ask ask = *ask_;
     ask_.reset();
-    news_[ask.holder] = HolderNews { holderLevel, now };
-    wallet_.add(TokenLot { amount, ask.sentAt + options_.grantLifetime, shares_.others[ask.holder], number }, now);
+    news_[ask.holder] = HolderNews {holderLevel, now};
+    wallet_.add(TokenLot {amount, ask.sentAt + options_.grantLifetime, shares_.others[ask.holder], number}, now);
 }
 
 double CustomerLimiter::grantTo(const GrantId &id, double amount, TimePoint now)
@@ -160,7 +160,7 @@
         const double wanted = options_.drawSize - (answer.drawn - answer.delivered);
         const double drawn = draw(answer, std::ceil(wanted), now);
         if (drawn > 0) {
-            actions.draws.push_back({ id, answer.drawn });
+            actions.draws.push_back({id, answer.drawn});
         }
         return drawn + Rounding >= wanted;
     });
@@ -171,7 +171,7 @@
     while (!waiting_.empty()) {
         const AdmissionRequest &request = waiting_.front().request;
         if (request.promptTokens > burst_) {
-            actions.admissions.push_back({ request.id, AdmissionVerdict::ExceedsBurst, Duration::zero() });
+            actions.admissions.push_back({request.id, AdmissionVerdict::ExceedsBurst, Duration::zero()});
             waiting_.pop_front();
             continue;
         }
@@ -180,9 +180,9 @@
             return;
         }
         admit(request, now);
-        actions.admissions.push_back({ request.id, AdmissionVerdict::Admitted, Duration::zero() });
+        actions.admissions.push_back({request.id, AdmissionVerdict::Admitted, Duration::zero()});
         if (request.expectedOutputTokens > 0) {
-            actions.draws.push_back({ request.id, answers_.at(request.id).drawn });
+            actions.draws.push_back({request.id, answers_.at(request.id).drawn});
         }
         waiting_.pop_front();
     }
@@ -265,7 +265,7 @@
         }
         const bool nobody = (shares_.ownFraction <= 0 || suspended_) && levelsElsewhere() <= 0;
         const auto verdict = nobody && !late ? AdmissionVerdict::Unavailable : AdmissionVerdict::RateLimited;
-        actions.admissions.push_back({ request.id, verdict, std::max(fromSeconds(seconds), Duration(Milliseconds(1))) });
+        actions.admissions.push_back({request.id, verdict, std::max(fromSeconds(seconds), Duration(Milliseconds(1)))});
         it = waiting_.erase(it);
     }
 }
@@ -273,7 +273,7 @@
 void CustomerLimiter::askForTokens(TimePoint now, LimiterActions &actions)
 {
     if (ask_ && now - ask_->sentAt > options_.askTimeout) {
-        news_[ask_->holder] = HolderNews { 0, now };
+        news_[ask_->holder] = HolderNews {0, now};
         ask_.reset();
     }
     if (ask_ || shares_.others.empty()) {
@@ -297,8 +297,8 @@
     if (!holder) {
         return;
     }
-    ask_ = Ask { ++lastAsk_, *holder, now };
-    actions.asks.push_back({ shares_.others[*holder], lastAsk_, std::ceil(missing) });
+    ask_ = Ask {++lastAsk_, *holder, now};
+    actions.asks.push_back({shares_.others[*holder], lastAsk_, std::ceil(missing)});
 }
 
 std::optional<std::size_t> CustomerLimiter::chooseHolder(TimePoint now) const
--- a/src/liblimits/shareholder.cpp
+++ b/src/liblimits/shareholder.cpp
@@ -89,7 +89,7 @@
     }
     const double granted = take(amount, now);
     if (granted > 0) {
-        grants_.push_back({ id, granted, now + grantLifetime_ });
+        grants_.push_back({id, granted, now + grantLifetime_});
         outstanding_ += granted;
     }
     return granted;
--- a/src/libmembership/membershiprow.cpp
+++ b/src/libmembership/membershiprow.cpp
@@ -49,7 +49,7 @@
     next.epoch = epoch + 1;
     const GatewayMember *member = find(name);
     if (member != nullptr) {
-        next.retired.push_back({ member->identity, epoch, electors() });
+        next.retired.push_back({member->identity, epoch, electors()});
         std::erase_if(next.members, [&name](const GatewayMember &other) { return other.identity.name == name; });
     }
     return next;
@@ -59,21 +59,20 @@
 {
     nlohmann::json memberList = nlohmann::json::array();
     for (const GatewayMember &member : members) {
-        memberList.push_back({ { "name", member.identity.name },
-                               { "incarnation", member.identity.incarnation },
-                               { "address", member.address },
-                               { "dataCentre", member.dataCentre } });
+        memberList.push_back({{"name", member.identity.name},
+                              {"incarnation", member.identity.incarnation},
+                              {"address", member.address},
+                              {"dataCentre", member.dataCentre}});
     }
     nlohmann::json retiredList = nlohmann::json::array();
     for (const RetiredMember &member : retired) {
-        retiredList.push_back({ { "name", member.identity.name },
-                                { "incarnation", member.identity.incarnation },
-                                { "lastEpoch", member.lastEpoch },
-                                { "electors", member.electors } });
+        retiredList.push_back({{"name", member.identity.name},
+                               {"incarnation", member.identity.incarnation},
+                               {"lastEpoch", member.lastEpoch},
+                               {"electors", member.electors}});
     }
-    return nlohmann::json {
-        { "epoch", epoch }, { "members", std::move(memberList) }, { "retired", std::move(retiredList) }, { "attempt", attempt }
-    }.dump();
+    return nlohmann::json {{"epoch", epoch}, {"members", std::move(memberList)}, {"retired", std::move(retiredList)}, {"attempt", attempt}}
+        .dump();
 }
 
 absl::StatusOr<MembershipRow> MembershipRow::fromText(const std::string &text)
@@ -83,14 +82,14 @@
         MembershipRow row;
         row.epoch = json.at("epoch").get<std::uint64_t>();
         for (const auto &item : json.at("members")) {
-            row.members.push_back({ { item.at("name").get<std::string>(), item.at("incarnation").get<std::uint64_t>() },
-                                    item.at("address").get<std::string>(),
-                                    item.at("dataCentre").get<std::string>() });
+            row.members.push_back({{item.at("name").get<std::string>(), item.at("incarnation").get<std::uint64_t>()},
+                                   item.at("address").get<std::string>(),
+                                   item.at("dataCentre").get<std::string>()});
         }
         for (const auto &item : json.at("retired")) {
-            row.retired.push_back({ { item.at("name").get<std::string>(), item.at("incarnation").get<std::uint64_t>() },
-                                    item.at("lastEpoch").get<std::uint64_t>(),
-                                    item.at("electors").get<std::vector<std::string>>() });
+            row.retired.push_back({{item.at("name").get<std::string>(), item.at("incarnation").get<std::uint64_t>()},
+                                   item.at("lastEpoch").get<std::uint64_t>(),
+                                   item.at("electors").get<std::vector<std::string>>()});
         }
         return row;
     } catch (const nlohmann::json::exception &error) {
--- a/src/libmembership/sharegate.cpp
+++ b/src/libmembership/sharegate.cpp
@@ -19,14 +19,14 @@
     // Processes that left between two rows that we saw, without the newer row saying so, have retired too.
     for (const GatewayMember &member : row_.members) {
         if (!row.contains(member.identity)) {
-            retired_.try_emplace(member.identity, Retired { RetiredMember { member.identity, row_.epoch, row_.electors() } });
+            retired_.try_emplace(member.identity, Retired {RetiredMember {member.identity, row_.epoch, row_.electors()}});
         }
     }
     for (const RetiredMember &member : row.retired) {
         if (stopped_.contains(member.identity)) {
             continue;
         }
-        const auto [it, inserted] = retired_.try_emplace(member.identity, Retired { member });
+        const auto [it, inserted] = retired_.try_emplace(member.identity, Retired {member});
         it->second.member = member;
     }
     row_ = row;
@@ -49,25 +49,28 @@
 
 void ShareGate::noteMovedOn(TimePoint now)
 {
-    for (auto &[identity, retired] : retired_) {
-        if (retired.movedOnAt != TimePoint::max()) {
-            continue;
-        }
-        const auto &electors = retired.member.electors;
-        const auto moved = std::count_if(electors.begin(), electors.end(), [&](const std::string &name) {
-            if (name == self_.name) {
-                return row_.epoch > retired.member.lastEpoch;
-            }
-            return std::any_of(acknowledged_.begin(), acknowledged_.end(), [&](const auto &item) {
-                return item.first.name == name && item.second > retired.member.lastEpoch;
-            });
-        });
-        if (static_cast<std::size_t>(moved) >= electors.size() / 2 + 1) {
+    for (auto &item : retired_) {
+        Retired &retired = item.second;
+        if (retired.movedOnAt == TimePoint::max() && electorsMovedOn(retired.member)) {
             retired.movedOnAt = now;
         }
     }
 }
 
+bool ShareGate::electorsMovedOn(const RetiredMember &member) const
+{
+    const auto knowsNewer = [&](const std::string &name) {
+        if (name == self_.name) {
+            return row_.epoch > member.lastEpoch;
+        }
+        return std::any_of(acknowledged_.begin(), acknowledged_.end(), [&](const auto &item) {
+            return item.first.name == name && item.second > member.lastEpoch;
+        });
+    };
+    const auto moved = std::count_if(member.electors.begin(), member.electors.end(), knowsNewer);
+    return static_cast<std::size_t>(moved) >= member.electors.size() / 2 + 1;
+}
+
 bool ShareGate::isStopped(const Retired &retired, TimePoint now) const
 {
     const GatewayIdentity &identity = retired.member.identity;
--- a/src/libmembership/sharegate.h
+++ b/src/libmembership/sharegate.h
@@ -55,6 +55,8 @@
     };
 
     void noteMovedOn(TimePoint now);
+    /** A majority of those who could vouch for the member knows a newer epoch than its last. */
+    bool electorsMovedOn(const RetiredMember &member) const;
     bool isStopped(const Retired &retired, TimePoint now) const;
 
     GatewayIdentity self_;
--- a/src/libmembership/storeproof.cpp
+++ b/src/libmembership/storeproof.cpp
@@ -52,7 +52,7 @@
 
 void StoreProof::peerReported(const PeerReport &report)
 {
-    vouches_[report.name] = Vouch { report.askedAt, report.membershipEpoch, report.catalogueVersion, report.storeDown };
+    vouches_[report.name] = Vouch {report.askedAt, report.membershipEpoch, report.catalogueVersion, report.storeDown};
     if (report.hasProof) {
         consider(report.askedAt - report.proofAge, report.proof);
     }
--- a/src/librouting/cacheindex.cpp
+++ b/src/librouting/cacheindex.cpp
@@ -1,6 +1,7 @@
 #include "cacheindex.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace Chestnutcove {
 
@@ -39,7 +40,7 @@
 void CacheIndex::reset(std::uint64_t nextEvent, const std::vector<std::uint64_t> &blocks)
 {
     nextEvent_ = nextEvent;
-    blocks_ = { blocks.begin(), blocks.end() };
+    blocks_ = {blocks.begin(), blocks.end()};
     changes_.clear();
     ++lastChange_;
 }
@@ -56,8 +57,13 @@
     }
     const std::size_t start = cursor - oldest;
     const std::size_t end = std::min(changes_.size(), start + limit);
+    // A block may change back and forth within one difference; only its last change counts.
+    std::unordered_map<std::uint64_t, bool> last;
     for (std::size_t i = start; i < end; ++i) {
-        (changes_[i].stored ? result.stored : result.evicted).push_back(changes_[i].block);
+        last[changes_[i].block] = changes_[i].stored;
+    }
+    for (const auto &[block, stored] : last) {
+        (stored ? result.stored : result.evicted).push_back(block);
     }
     result.cursor = oldest + end;
     return result;
--- a/src/librouting/router.cpp
+++ b/src/librouting/router.cpp
@@ -162,7 +162,7 @@
             continue;
         }
         const std::size_t cached = cachedBlocks(*endpoint, query.blocks);
-        const Candidate candidate { endpoint, predict(*endpoint, query, cached), cached };
+        const Candidate candidate {endpoint, predict(*endpoint, query, cached), cached};
         if (best.endpoint == nullptr || candidate.predicted < best.predicted) {
             best = candidate;
         }
@@ -181,12 +181,12 @@
     const auto bound = std::chrono::duration_cast<Duration>(best.predicted * options_.affinityFactor) + options_.affinitySlack;
     const bool firstSight = best.cachedBlocks == 0 && affine.endpoint != nullptr;
     if (firstSight && affine.endpoint != best.endpoint && affine.predicted <= bound) {
-        return RouteChoice { affine.endpoint->entry.name, affine.predicted, affine.cachedBlocks, "prefix affinity within the load bound" };
+        return RouteChoice {affine.endpoint->entry.name, affine.predicted, affine.cachedBlocks, "prefix affinity within the load bound"};
     }
-    return RouteChoice { best.endpoint->entry.name,
-                         best.predicted,
-                         best.cachedBlocks,
-                         best.cachedBlocks > 0 ? "shortest predicted time, prefix cached" : "shortest predicted time" };
+    return RouteChoice {best.endpoint->entry.name,
+                        best.predicted,
+                        best.cachedBlocks,
+                        best.cachedBlocks > 0 ? "shortest predicted time, prefix cached" : "shortest predicted time"};
 }
 
 std::uint64_t Router::dispatched(const std::string &name, const RouteQuery &query, TimePoint now)
@@ -201,7 +201,7 @@
     const double decodeTogether = load.decodeTokensPerSecond * static_cast<double>(std::max<std::uint64_t>(load.slots, 1));
     const double seconds
         = query.promptTokens / std::max(load.prefillTokensPerSecond, 1.0) + query.outputTokens / std::max(decodeTogether, 1.0);
-    endpoint.uncounted.push_back({ ++endpoint.dispatches, seconds });
+    endpoint.uncounted.push_back({++endpoint.dispatches, seconds});
     return endpoint.dispatches;
 }
 
@@ -232,7 +232,7 @@
     if (group == byServes_.end()) {
         return 0;
     }
-    const RouteQuery query { serves, 0, 0, {}, {} };
+    const RouteQuery query {serves, 0, 0, {}, {}};
     return static_cast<std::size_t>(std::count_if(
         group->second.begin(), group->second.end(), [&](const Endpoint *endpoint) { return isCandidate(*endpoint, query, now); }));
 }
--- a/src/libtransport/link.cpp
+++ b/src/libtransport/link.cpp
@@ -125,7 +125,7 @@
     if (zmq_curve_keypair(publicKey.data(), secretKey.data()) != 0) {
         return absl::UnimplementedError("ZeroMQ was built without CURVE");
     }
-    return LinkKeys { publicKey.data(), secretKey.data() };
+    return LinkKeys {publicKey.data(), secretKey.data()};
 }
 
 absl::Status checkLinkKey(const std::string &key)
@@ -190,7 +190,7 @@
         } while (frame.more());
         constexpr std::size_t KeyFrame = 6;
         const bool known = frames.size() > KeyFrame && frames[5] == "CURVE" && allowed_.contains(frames[KeyFrame]);
-        const std::array<std::string, 6> reply { "1.0", frames.size() > 1 ? frames[1] : "", known ? "200" : "400", "", "", "" };
+        const std::array<std::string, 6> reply {"1.0", frames.size() > 1 ? frames[1] : "", known ? "200" : "400", "", "", ""};
         for (std::size_t i = 0; i < reply.size(); ++i) {
             zap_.send(zmq::buffer(reply[i]), i + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
         }
--- a/src/libusage/usageledger.cpp
+++ b/src/libusage/usageledger.cpp
@@ -27,9 +27,9 @@
     nlohmann::json customers = nlohmann::json::object();
     for (const auto &[customer, figures] : usage) {
         customers[customer]
-            = { { "requests", figures.requests }, { "promptTokens", figures.promptTokens }, { "outputTokens", figures.outputTokens } };
+            = {{"requests", figures.requests}, {"promptTokens", figures.promptTokens}, {"outputTokens", figures.outputTokens}};
     }
-    return nlohmann::json { { "customers", std::move(customers) }, { "attempt", attempt } }.dump();
+    return nlohmann::json {{"customers", std::move(customers)}, {"attempt", attempt}}.dump();
 }
 
 absl::StatusOr<CustomerUsage> usageFromText(const std::string &text)
@@ -43,9 +43,9 @@
         if (!figures.is_object()) {
             return absl::DataLossError("unreadable usage row of customer " + customer);
         }
-        usage[customer] = { figures.value("requests", std::uint64_t { 0 }),
-                            figures.value("promptTokens", std::uint64_t { 0 }),
-                            figures.value("outputTokens", std::uint64_t { 0 }) };
+        usage[customer] = {figures.value("requests", std::uint64_t {0}),
+                           figures.value("promptTokens", std::uint64_t {0}),
+                           figures.value("outputTokens", std::uint64_t {0})};
     }
     return usage;
 }
@@ -63,7 +63,7 @@
     }
     for (const auto &[number, window] : windows_) {
         if (window.figures != window.stored) {
-            pending_ = UsageFlush { number, window.figures };
+            pending_ = UsageFlush {number, window.figures};
             return pending_;
         }
     }
@@ -90,9 +90,8 @@
     for (const auto &[customer, figures] : window.figures) {
         const auto it = stored.find(customer);
         const UsageFigures before = it == stored.end() ? UsageFigures {} : it->second;
-        const UsageFigures rest { figures.requests - before.requests,
-                                  figures.promptTokens - before.promptTokens,
-                                  figures.outputTokens - before.outputTokens };
+        const UsageFigures rest {
+            figures.requests - before.requests, figures.promptTokens - before.promptTokens, figures.outputTokens - before.outputTokens};
         if (rest != UsageFigures {}) {
             late[customer] = rest;
         }
@@ -123,9 +122,8 @@
         for (const auto &[customer, figures] : window.figures) {
             const auto stored = window.stored.find(customer);
             const UsageFigures before = stored == window.stored.end() ? UsageFigures {} : stored->second;
-            result[customer] += UsageFigures { figures.requests - before.requests,
-                                               figures.promptTokens - before.promptTokens,
-                                               figures.outputTokens - before.outputTokens };
+            result[customer] += UsageFigures {
+                figures.requests - before.requests, figures.promptTokens - before.promptTokens, figures.outputTokens - before.outputTokens};
         }
     }
     return result;
