--- a/src/chestnutcove/endpointadapter.cpp
+++ b/src/chestnutcove/endpointadapter.cpp
@@ -109,7 +109,8 @@
     http.url = settings_.endpointUrl + call.path;
     http.body = call.body;
     http.timeout = settings_.requestTimeout;
-    http.silenceTimeout = settings_.answerSilence;
+    http.silenceTimeout = call.stream ? settings_.answerSilence : Milliseconds::zero();
+    http.atMostOnce = call.atMostOnce;
     http.headers.emplace_back("X-Request-Id", call.requestId);
     if (!call.contentType.empty()) {
         http.headers.emplace_back("Content-Type", call.contentType);
@@ -222,6 +223,7 @@
 {
     HttpCall call = get("/orders");
     call.method = "POST";
+    call.atMostOnce = true;
     call.headers = {{"Content-Type", "application/json"}};
     call.body = nlohmann::json {{"action", action}, {"argument", argument}, {"fencing", fencing}}.dump();
     client_.send(std::move(call), [onDone](const HttpResult &result) {
--- a/src/chestnutcove/endpointadapter.h
+++ b/src/chestnutcove/endpointadapter.h
@@ -24,6 +24,7 @@
     std::string body;
     std::string requestId;
     bool stream = false;
+    bool atMostOnce = false;
 };
 
 /** One event of a streamed answer. */
--- a/src/chestnutcove/sidecar.cpp
+++ b/src/chestnutcove/sidecar.cpp
@@ -277,6 +277,7 @@
     call.body = std::move(*running.submit.mutable_body());
     call.requestId = running.submit.client_request_id().empty() ? id.toText() : running.submit.client_request_id();
     call.stream = running.submit.stream();
+    call.atMostOnce = !running.submit.idempotent();
     running.call = endpoint_.send(
         call,
         [this, id](std::vector<EndpointEvent> events) { onEvents(id, std::move(events)); },
--- a/src/chestnutcove/usagereporter.cpp
+++ b/src/chestnutcove/usagereporter.cpp
@@ -292,6 +292,7 @@
     call.url = settings_.platformUrl + "/v1/usage-reports";
     call.headers = {{"Content-Type", "application/json"}};
     call.timeout = std::min(settings_.platformTimeout, left);
+    call.atMostOnce = true;
     call.body = nlohmann::json {{"window", window},
                                 {"windowMs", settings_.timing.usageWindow.count()},
                                 {"epoch", lease_.keeper().epoch()},
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -166,7 +166,7 @@
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
         curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(maxAge_.count()));
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection || call.atMostOnce ? 1L : 0L);
         if (call.silenceTimeout.count() > 0) {
             curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
             const auto seconds = std::chrono::ceil<std::chrono::seconds>(call.silenceTimeout);
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds silenceTimeout {0};
     /** Open a new connection: one that is open may have gone silent for good. */
     bool freshConnection = false;
+    /** The call must reach the other side at most once. libcurl repeats a call by itself when a connection that it used before closes
+     * without an answer. */
+    bool atMostOnce = false;
 };
 
 struct HttpResult
--- a/src/libplatform/httptable.cpp
+++ b/src/libplatform/httptable.cpp
@@ -107,16 +107,17 @@
         return;
     }
     ++writes_;
-    client_.send(postCall(options_.url + "/v1/table/commit", toBody(transaction), options_.timeout, suspectConnection_),
-                 [this, onOutcome = std::move(onOutcome)](const HttpResult &result) {
-                     const bool definite = result.status.ok() && (result.code == CodeOk || result.code == CodeConflict);
-                     note(definite);
-                     if (definite) {
-                         onOutcome(result.code == CodeOk ? CommitOutcome::Committed : CommitOutcome::Conflict);
-                     } else {
-                         onOutcome(absl::IsUnavailable(result.status) ? CommitOutcome::NotSent : CommitOutcome::Unknown);
-                     }
-                 });
+    HttpCall call = postCall(options_.url + "/v1/table/commit", toBody(transaction), options_.timeout, suspectConnection_);
+    call.atMostOnce = true;
+    client_.send(std::move(call), [this, onOutcome = std::move(onOutcome)](const HttpResult &result) {
+        const bool definite = result.status.ok() && (result.code == CodeOk || result.code == CodeConflict);
+        note(definite);
+        if (definite) {
+            onOutcome(result.code == CodeOk ? CommitOutcome::Committed : CommitOutcome::Conflict);
+        } else {
+            onOutcome(absl::IsUnavailable(result.status) ? CommitOutcome::NotSent : CommitOutcome::Unknown);
+        }
+    });
 }
 
 bool HttpTable::isDown() const
