Usage test: keep the stand-in's state alive while it is read

Cause: the test iterated over a part of a temporary; the reports were there all the time. Change: the state is kept in a variable; the check is as it was.

--- a/tests/processes/processes_test.cpp
+++ b/tests/processes/processes_test.cpp
@@ -391,7 +391,8 @@
     }
     const auto reportedTokens = [&] {
         std::map<std::uint64_t, nlohmann::json> windows;
-        for (const auto &report : fleet_.stateOf("platform")["reports"]) {
+        const nlohmann::json state = fleet_.stateOf("platform");
+        for (const auto &report : state["reports"]) {
             const auto [it, added] = windows.emplace(report["window"].get<std::uint64_t>(), report["customers"]);
             EXPECT_EQ(it->second, report["customers"]) << "window reported with different figures";
         }
