Fleet planner, orders through sidecars with drain and verification, endpoint orders by intent rows

Cause: roles and endpoint counts followed nothing. Change: libfleet decides role changes (saving over a horizon against cost, dwell, one at a time, never the last mixed engine) and endpoint counts, with reasons; the lease holder writes wanted roles first and gives orders from that row; the sidecar drains, orders, verifies; endpoint orders are intents with tokens that are looked up before they are sent again.

--- a/src/chestnutcove/endpointlinks.cpp
+++ b/src/chestnutcove/endpointlinks.cpp
@@ -29,6 +29,8 @@
     result.decodeTokensPerSecond = load.decode_tokens_per_second();
     result.draining = load.draining();
     result.healthy = load.healthy();
+    result.promptTokensTotal = load.prompt_tokens_total();
+    result.outputTokensTotal = load.output_tokens_total();
     return result;
 }
 
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -89,6 +89,10 @@
                   }
                   return;
               }
+              if (message.body_case() == wire::Envelope::kOrderReply) {
+                  fleet_.onOrderReply(message.order_reply());
+                  return;
+              }
               runner_.onMessage(key, message);
           },
           [this](const LinkKey &key) { runner_.linkLost(key); })
@@ -135,6 +139,19 @@
                      incarnation,
                      toLeaseOptions(settings_.timing, withMargin(settings_.platformTimeout)))
     , usage_(context.get_executor(), table_, client_, settings_, incarnation, reporterLease_, metrics, log)
+    , endpointOrders_(context.get_executor(), table_, client_, settings_, plannerLease_, incarnation, log)
+    , fleet_(context.get_executor(),
+             table_,
+             plannerLease_,
+             endpointLinks_,
+             router_,
+             endpointOrders_,
+             metrics,
+             log,
+             incarnation,
+             settings_.timing.planInterval,
+             settings_.planner,
+             [this](const std::string &endpoint) { drainEndpoint(endpoint); })
     , membershipWriter_(context.get_executor(), table_, settings_.timing.leaseDuration)
     , callers_(settings_,
                catalogue_,
@@ -197,6 +214,8 @@
         plannerLease_.tick(time);
         reporterLease_.tick(time);
         usage_.tick(time);
+        fleet_.tick(time);
+        endpointOrders_.tick(time);
     });
     every(VmListInterval, [this](TimePoint) { readVmList(); });
     log_.info("gateway started",
@@ -543,6 +562,8 @@
             {"limits", limits_.dump(now)},
             {"requests", runner_.dump()},
             {"usage", usage_.dump()},
+            {"fleet", fleet_.dump()},
+            {"endpointOrders", endpointOrders_.dump()},
             {"endpoints", endpoints()}};
 }
 
@@ -574,6 +595,24 @@
     return runner_.trail(publicId);
 }
 
+const std::deque<std::string> &Gateway::plannerDecisions() const
+{
+    return fleet_.decisions();
+}
+
+void Gateway::drainEndpoint(const std::string &name)
+{
+    const auto entry = catalogue_.read()->find(EntryKind::Endpoint, name);
+    if (!entry) {
+        return;
+    }
+    EndpointEntry endpoint = std::get<EndpointEntry>(*entry);
+    endpoint.draining = true;
+    editor_.edit({EntryKind::Endpoint, name, endpoint, std::nullopt}, [this, name](const absl::StatusOr<std::uint64_t> &version) {
+        log_.info("endpoint drained to be given back", {{"endpoint", name}, {"result", version.status().ToString()}});
+    });
+}
+
 const GatewaySettings &Gateway::settings() const
 {
     return settings_;
--- a/src/chestnutcove/gateway.h
+++ b/src/chestnutcove/gateway.h
@@ -9,6 +9,8 @@
 #include "cataloguesync.h"
 #include "dutylease.h"
 #include "endpointlinks.h"
+#include "endpointorders.h"
+#include "fleetduty.h"
 #include "idempotencystore.h"
 #include "limitboard.h"
 #include "membershipkeeper.h"
@@ -54,6 +56,7 @@
     const Catalogue &catalogue();
     CatalogueEditor &editor();
     const RequestTrail *trail(const std::string &publicId) const;
+    const std::deque<std::string> &plannerDecisions() const;
     const GatewaySettings &settings() const;
     Metrics &metrics();
 
@@ -66,6 +69,7 @@
     void considerMembership(TimePoint now);
     void proposeMembership(const MembershipRow &row);
     void readVmList();
+    void drainEndpoint(const std::string &name);
     void applyCatalogue(const Catalogue &catalogue);
     void updateFreshness(TimePoint now);
     wire::PeerState ownState() const;
@@ -102,6 +106,8 @@
     DutyLease plannerLease_;
     DutyLease reporterLease_;
     UsageReporter usage_;
+    EndpointOrders endpointOrders_;
+    FleetDuty fleet_;
     TableWriter<HttpTable> membershipWriter_;
     CallerApi callers_;
     HttpServer callerServer_;
--- a/src/chestnutcove/operatorapi.cpp
+++ b/src/chestnutcove/operatorapi.cpp
@@ -309,7 +309,11 @@
 void OperatorApi::explain(const HttpRequest &request, const HttpReply &reply)
 {
     const auto id = request.parameter("request");
-    const RequestTrail *trail = id ? gateway_.trail(*id) : nullptr;
+    if (!id) {
+        respondJson(reply, 200, {{"steps", gateway_.plannerDecisions()}});
+        return;
+    }
+    const RequestTrail *trail = gateway_.trail(*id);
     if (trail == nullptr) {
         respondError(reply, 404, "this gateway knows no such request");
         return;
--- a/src/chestnutcove/settings.cpp
+++ b/src/chestnutcove/settings.cpp
@@ -113,6 +113,24 @@
     return patience;
 }
 
+FleetPlanOptions readPlanner(DocumentReader reader)
+{
+    FleetPlanOptions options;
+    const auto milliseconds = [](Duration duration) { return std::chrono::duration_cast<Milliseconds>(duration); };
+    options.tunedGain = reader.number("tunedGain", options.tunedGain, 1, 10);
+    options.tunedLoss = reader.number("tunedLoss", options.tunedLoss, 0.05, 1);
+    options.roleChangeTime = reader.duration("roleChangeTime", milliseconds(options.roleChangeTime), 100ms, 10min);
+    options.horizon = reader.duration("horizon", milliseconds(options.horizon), 1s, 1h);
+    options.dwell = reader.duration("dwell", milliseconds(options.dwell), 1s, 24h);
+    options.comfortableUse = reader.number("comfortableUse", options.comfortableUse, 0.1, 1);
+    options.targetUse = reader.number("targetUse", options.targetUse, 0.1, 1);
+    options.longAverage = reader.duration("longAverage", milliseconds(options.longAverage), 10s, 24h);
+    options.giveBackAfter = reader.duration("giveBackAfter", milliseconds(options.giveBackAfter), 1min, 24h);
+    options.minEndpoints = reader.integer("minEndpoints", options.minEndpoints, 1, 100'000);
+    reader.finish();
+    return options;
+}
+
 GatewaySettings readGateway(DocumentReader &reader)
 {
     GatewaySettings settings;
@@ -142,6 +160,7 @@
     settings.peers = reader.texts("peers");
     settings.timing = readTiming(reader.object("timing"));
     settings.patience = readPatience(reader.object("patience"));
+    settings.planner = readPlanner(reader.object("planner"));
     settings.logLevel = reader.choice("logLevel", LogLevelNames, LogLevel::Info);
     reader.finish();
     return settings;
--- a/src/chestnutcove/settings.h
+++ b/src/chestnutcove/settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "catalogue.h"
+#include "fleetplan.h"
 #include "log.h"
 #include "timepoint.h"
 
@@ -79,6 +80,7 @@
     std::vector<std::string> peers;
     GatewayTiming timing;
     PatienceSettings patience;
+    FleetPlanOptions planner;
     LogLevel logLevel = LogLevel::Info;
 
     Duration patienceOf(ServiceClass serviceClass) const;
--- a/src/chestnutcove/sidecar.cpp
+++ b/src/chestnutcove/sidecar.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::seconds MaxConnectionAge {60};
 constexpr std::size_t CacheBlocksPerReply = 2000;
 constexpr int CodeOk = 200;
+/** Time for an ordered state to show in the endpoint's own report. */
+constexpr std::chrono::seconds VerifyTime {20};
 constexpr int FirstServerError = 500;
 
 RequestId fromWire(const wire::RequestId &id)
@@ -223,7 +225,11 @@
                {"verdict", std::string(nameOf(OrderVerdictNames, verdict))}});
     lastOrder_ = order.action() + " " + order.argument() + ": " + std::string(nameOf(OrderVerdictNames, verdict));
     if (verdict == OrderVerdict::Accepted) {
-        carryOut(peer, order);
+        // What waits goes to other endpoints; what runs finishes first.
+        pendingOrder_ = PendingOrder {peer, order};
+        dispatcher_.setDraining(true);
+        refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, std::chrono::steady_clock::now()));
+        advanceOrder(std::chrono::steady_clock::now());
         return;
     }
     wire::Envelope reply;
@@ -232,27 +238,53 @@
     server_.send(peer, reply);
 }
 
-void Sidecar::carryOut(const LinkServer::PeerId &peer, const wire::Order &order)
+void Sidecar::advanceOrder(TimePoint now)
 {
-    changingRole_ = true;
-    endpoint_.order(order.action(), order.argument(), order.epoch(), [this, peer, order](const absl::Status &status) {
-        orders_.completed();
-        changingRole_ = false;
-        wire::Envelope reply;
-        auto *body = reply.mutable_order_reply();
-        body->set_order_id(order.order_id());
-        body->set_done(status.ok());
-        body->set_code(status.ok() ? "done" : "failed");
-        body->set_message(std::string(status.message()));
-        server_.send(peer, reply);
-        log_.info("order carried out", {{"action", order.action()}, {"result", status.ToString()}});
-        dispatchReady();
+    if (!pendingOrder_ || dispatcher_.running() > 0) {
+        return;
+    }
+    PendingOrder &pending = *pendingOrder_;
+    if (pending.verifying) {
+        const bool inEffect = pending.order.action() != "role" || state_.role == pending.order.argument();
+        if (inEffect || now >= pending.verifyUntil) {
+            completeOrder(inEffect, inEffect ? "" : "the endpoint does not show the ordered state");
+        }
+        return;
+    }
+    if (pending.sent) {
+        return;
+    }
+    pending.sent = true;
+    endpoint_.order(pending.order.action(), pending.order.argument(), pending.order.epoch(), [this](const absl::Status &status) {
+        if (!status.ok()) {
+            completeOrder(false, std::string(status.message()));
+            return;
+        }
+        pendingOrder_->verifying = true;
+        pendingOrder_->verifyUntil = std::chrono::steady_clock::now() + VerifyTime;
     });
 }
 
+void Sidecar::completeOrder(bool done, const std::string &message)
+{
+    const PendingOrder pending = *std::exchange(pendingOrder_, std::nullopt);
+    orders_.completed();
+    dispatcher_.setDraining(onStopped_ != nullptr);
+    wire::Envelope reply;
+    auto *body = reply.mutable_order_reply();
+    body->set_order_id(pending.order.order_id());
+    body->set_done(done);
+    body->set_code(done ? "done" : "failed");
+    body->set_message(message);
+    server_.send(pending.peer, reply);
+    log_.info("order carried out",
+              {{"action", pending.order.action()}, {"argument", pending.order.argument()}, {"result", done ? "done" : message}});
+    dispatchReady();
+}
+
 void Sidecar::dispatchReady()
 {
-    if (changingRole_) {
+    if (pendingOrder_) {
         return;
     }
     const auto now = std::chrono::steady_clock::now();
@@ -320,6 +352,8 @@
                                  decode > 0 ? static_cast<double>(running.outputTokens - 1) / decode : 0);
     }
     dispatcher_.finished(id, static_cast<double>(result.promptTokens), static_cast<double>(result.outputTokens), now);
+    promptTokensTotal_ += static_cast<double>(result.promptTokens);
+    outputTokensTotal_ += static_cast<double>(result.outputTokens);
     running.result = std::move(result);
     flush(id, running);
     dispatchReady();
@@ -432,6 +466,7 @@
     const auto now = std::chrono::steady_clock::now();
     refuseAll(dispatcher_.expire(now));
     checkGateways(now);
+    advanceOrder(now);
     dispatchReady();
     if (onStopped_ && dispatcher_.running() == 0 && requests_.empty()) {
         std::exchange(onStopped_, nullptr)();
@@ -540,6 +575,8 @@
     load.set_healthy(dispatcher_.isHealthy());
     load.set_role(state_.role);
     load.set_slots(dispatcher_.slots());
+    load.set_prompt_tokens_total(promptTokensTotal_);
+    load.set_output_tokens_total(outputTokensTotal_);
 }
 
 nlohmann::json Sidecar::dump() const
--- a/src/chestnutcove/sidecar.h
+++ b/src/chestnutcove/sidecar.h
@@ -69,7 +69,9 @@
     void onAllowance(const wire::Allowance &allowance);
     void onHeartbeat(const LinkServer::PeerId &peer, const wire::Heartbeat &heartbeat);
     void onOrder(const LinkServer::PeerId &peer, const wire::Order &order);
-    void carryOut(const LinkServer::PeerId &peer, const wire::Order &order);
+    /** Drains the endpoint, then orders, then verifies. */
+    void advanceOrder(TimePoint now);
+    void completeOrder(bool done, const std::string &message);
 
     void dispatchReady();
     void call(const RequestId &id, Running &running);
@@ -109,10 +111,22 @@
     std::unordered_map<std::uint64_t, Gateway> gateways_;
     EndpointState state_;
     std::string lastOrder_;
+    /** Taken and waiting for running requests to finish, or being carried out. */
+    struct PendingOrder
+    {
+        LinkServer::PeerId peer;
+        wire::Order order;
+        bool sent = false;
+        /** The endpoint took it; its effect is to be seen in a probe until then. */
+        TimePoint verifyUntil;
+        bool verifying = false;
+    };
+    std::optional<PendingOrder> pendingOrder_;
+    double promptTokensTotal_ = 0;
+    double outputTokensTotal_ = 0;
     std::uint32_t failedProbes_ = 0;
     bool cacheBusy_ = false;
     bool catalogueDrain_ = false;
-    bool changingRole_ = false;
     std::function<void()> onStopped_;
 };
 
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -30,6 +30,9 @@
     double decodeTokensPerSecond = 40;
     bool draining = false;
     bool healthy = false;
+    /** Served since the sidecar's start. */
+    double promptTokensTotal = 0;
+    double outputTokensTotal = 0;
 };
 
 struct RouterOptions
--- a/tests/processes/processes_test.cpp
+++ b/tests/processes/processes_test.cpp
@@ -350,6 +350,47 @@
     EXPECT_TRUE(eventually([&] { return !leaseHolder("planner", gateways).empty(); }));
 }
 
+TEST_F(ProcessesTest, StoredPlanAndRestartedEngineAndNewHolder_OrdersAreGivenOnceWithRisingEpochs)
+{
+    fleet_.startPlatform();
+    const std::string plan = nlohmann::json {{"roles", {{"chat-1", "decode"}}}, {"epoch", 0}}.dump();
+    const nlohmann::json write {{"puts", {{{"key", "plan/roles"}, {"value", plan}}}}};
+    const std::string platform = "http://127.0.0.1:" + std::to_string(fleet_.process("platform").port("port"));
+    ASSERT_EQ(send({"POST", platform + "/v1/table/commit", "", write.dump()}).code, 200);
+    for (const char *name : {"chat-1", "chat-2"}) {
+        fleet_.startEngine(name, {"--checks-fencing", "false"});
+        fleet_.startSidecar(name, true);
+    }
+    std::vector<std::string> gateways {"entry-1", "entry-2", "entry-3"};
+    for (const std::string &gateway : gateways) {
+        fleet_.startGateway(gateway);
+    }
+    fleet_.fillCatalogue();
+    ASSERT_TRUE(eventually([&] { return fleet_.stateOf("chat-1")["role"] == "decode"; }));
+    const std::string holder = leaseHolder("planner", gateways);
+    ASSERT_FALSE(holder.empty());
+    ASSERT_EQ(fleet_.stateOf("chat-1")["orders"].size(), 1U);
+    const auto epoch = fleet_.stateOf("chat-1")["orders"][0]["fencing"].get<std::uint64_t>();
+    // A new holder carries on from the row: it repeats nothing.
+    fleet_.process(holder).kill();
+    std::erase(gateways, holder);
+    ASSERT_TRUE(eventually([&] {
+        const std::string next = leaseHolder("planner", gateways);
+        return !next.empty() && dump(next)["leases"]["planner"]["mayAct"] == true && !dump(next)["fleet"]["wantedRoles"].empty();
+    }));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    EXPECT_EQ(fleet_.stateOf("chat-1")["orders"].size(), 1U);
+    // The engine loses its role in a crash: it is found and put right, with the new holder's epoch.
+    fleet_.process("chat-1").kill();
+    fleet_.startEngine("chat-1", {"--checks-fencing", "false"});
+    fleet_.startSidecar("chat-1", true);
+    const std::string address = "127.0.0.1:" + std::to_string(fleet_.process("chat-1-sidecar").port("link"));
+    EXPECT_EQ(fleet_.put("endpoint", "chat-1", {{"dataCentre", "dc-1"}, {"sidecar", address}, {"serves", "chat"}}, gateways[0]).code, 200);
+    ASSERT_TRUE(eventually([&] { return fleet_.stateOf("chat-1")["role"] == "decode"; }));
+    EXPECT_GT(fleet_.stateOf("chat-1")["orders"][0]["fencing"].get<std::uint64_t>(), epoch);
+    EXPECT_TRUE(fleet_.stateOf("chat-2")["orders"].empty());
+}
+
 TEST_F(ProcessesTest, RacingOperators_OneGetsAConflictThatNamesTheVersion)
 {
     start(2, 1, false);
