--- a/src/chestnutcove/callerapi.cpp
+++ b/src/chestnutcove/callerapi.cpp
@@ -162,7 +162,7 @@
 CallerApi::Outcome
 CallerApi::read(HttpRequest &request, const HttpReply &reply, const Catalogue &catalogue, const std::string &publicId) const
 {
-    CallerRequest result {reply};
+    CallerRequest result{reply};
     result.connection = request.connection;
     result.publicId = publicId;
     result.arrival = std::chrono::steady_clock::now();
@@ -173,26 +173,26 @@
         }
     }
     if (request.body.size() > settings_.maxBodyBytes) {
-        return CallerFailure {CallerError::BodyTooLarge, "the body is larger than " + std::to_string(settings_.maxBodyBytes) + " bytes"};
+        return CallerFailure{CallerError::BodyTooLarge, "the body is larger than " + std::to_string(settings_.maxBodyBytes) + " bytes"};
     }
     result.contentType = std::string(request.value("Content-Type").value_or(""));
     result.idempotencyKey = std::string(request.value("Idempotency-Key").value_or(""));
     if (request.path == ChatPath) {
         if (request.method != "POST") {
-            return CallerFailure {CallerError::MethodNotAllowed, "chat completions take POST"};
+            return CallerFailure{CallerError::MethodNotAllowed, "chat completions take POST"};
         }
         return readChat(request, std::move(result), catalogue);
     }
     const auto service = catalogue.serviceFor(request.path);
     if (!service) {
-        return CallerFailure {CallerError::RouteNotFound, "nothing is served at this path"};
+        return CallerFailure{CallerError::RouteNotFound, "nothing is served at this path"};
     }
     if (!service->open) {
         if (auto failure = identify(request, catalogue, result)) {
             return *std::move(failure);
         }
         if (!isAllowed(service->customers, result.customer->name)) {
-            return CallerFailure {CallerError::NotAllowed, "the key's customer may not use this service"};
+            return CallerFailure{CallerError::NotAllowed, "the key's customer may not use this service"};
         }
     }
     return readService(request, std::move(result), *service);
@@ -202,21 +202,21 @@
 {
     const auto header = request.value("Authorization");
     if (!header || !header->starts_with(BearerPrefix)) {
-        return CallerFailure {CallerError::KeyMissing, "send the key as \"Authorization: Bearer KEY\""};
+        return CallerFailure{CallerError::KeyMissing, "send the key as \"Authorization: Bearer KEY\""};
     }
     if (!freshness_.isFresh(std::chrono::steady_clock::now())) {
-        return CallerFailure {CallerError::KeysNotFresh,
-                              "this gateway can't tell at present which keys are withdrawn; try again",
-                              true,
-                              std::chrono::seconds(1)};
+        return CallerFailure{CallerError::KeysNotFresh,
+                             "this gateway can't tell at present which keys are withdrawn; try again",
+                             true,
+                             std::chrono::seconds(1)};
     }
     const auto key = authenticate(catalogue, header->substr(BearerPrefix.size()), settings_.keyPepper);
     if (!key) {
-        return CallerFailure {CallerError::KeyInvalid, "the key is unknown or was withdrawn"};
+        return CallerFailure{CallerError::KeyInvalid, "the key is unknown or was withdrawn"};
     }
     const auto customer = catalogue.customers().find(key->customer);
     if (customer == catalogue.customers().end()) {
-        return CallerFailure {CallerError::NotAllowed, "the key's customer is no longer in the catalogue"};
+        return CallerFailure{CallerError::NotAllowed, "the key's customer is no longer in the catalogue"};
     }
     result.customer = customer->second;
     return std::nullopt;
@@ -236,10 +236,10 @@
     }
     const auto model = catalogue.models().find(chat["model"].get_ref<const std::string &>());
     if (model == catalogue.models().end()) {
-        return CallerFailure {CallerError::ModelNotFound, "there is no such model"};
+        return CallerFailure{CallerError::ModelNotFound, "there is no such model"};
     }
     if (!isAllowed(model->second->customers, result.customer->name)) {
-        return CallerFailure {CallerError::NotAllowed, "the key's customer may not use this model"};
+        return CallerFailure{CallerError::NotAllowed, "the key's customer may not use this model"};
     }
     std::string text;
     if (auto failure = readMessages(chat, text)) {
@@ -265,8 +265,8 @@
     }
     result.promptTokens = estimateTokens(text.size());
     if (result.promptTokens > model->second->maxPromptTokens) {
-        return CallerFailure {CallerError::PromptTooLong,
-                              "the prompt is longer than the model's " + std::to_string(model->second->maxPromptTokens) + " tokens"};
+        return CallerFailure{CallerError::PromptTooLong,
+                             "the prompt is longer than the model's " + std::to_string(model->second->maxPromptTokens) + " tokens"};
     }
     result.blocks = promptBlocks(text);
     result.isChat = true;
@@ -300,7 +300,7 @@
                            const Catalogue &catalogue,
                            const std::string &publicId) const
 {
-    CallerRequest caller {reply};
+    CallerRequest caller{reply};
     if (const auto failure = identify(request, catalogue, caller)) {
         respondWith(reply, *failure, publicId);
         return;
@@ -311,7 +311,7 @@
             data.push_back({{"id", name}, {"object", "model"}, {"created", 0}, {"owned_by", model->owner}});
         }
     }
-    const nlohmann::json body {{"object", "list"}, {"data", std::move(data)}};
+    const nlohmann::json body{{"object", "list"}, {"data", std::move(data)}};
     reply.respond(200, {{"Content-Type", "application/json"}, {"X-Request-Id", publicId}}, body.dump());
 }
 
--- a/src/chestnutcove/callerrequest.cpp
+++ b/src/chestnutcove/callerrequest.cpp
@@ -61,10 +61,10 @@
 
 nlohmann::json toJson(const CallerFailure &failure)
 {
-    nlohmann::json error {{"message", failure.message},
-                          {"type", typeOf(statusOf(failure.error))},
-                          {"param", nullptr},
-                          {"code", nameOf(CallerErrorNames, failure.error)}};
+    nlohmann::json error{{"message", failure.message},
+                         {"type", typeOf(statusOf(failure.error))},
+                         {"param", nullptr},
+                         {"code", nameOf(CallerErrorNames, failure.error)}};
     if (failure.notRun) {
         error["not_run"] = true;
     }
@@ -73,7 +73,7 @@
 
 void respondWith(const HttpReply &reply, const CallerFailure &failure, const std::string &requestId)
 {
-    HttpHeaders headers {{"Content-Type", "application/json"}, {"X-Request-Id", requestId}};
+    HttpHeaders headers{{"Content-Type", "application/json"}, {"X-Request-Id", requestId}};
     if (failure.retryAfter > Duration::zero()) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter).count();
         headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
--- a/src/chestnutcove/callerrequest.h
+++ b/src/chestnutcove/callerrequest.h
@@ -39,7 +39,7 @@
     ShuttingDown,
 };
 
-inline constexpr NameTable<CallerError, 19> CallerErrorNames {{
+inline constexpr NameTable<CallerError, 19> CallerErrorNames{{
     {CallerError::InvalidRequest, "invalid_request"},   {CallerError::BodyTooLarge, "body_too_large"},
     {CallerError::KeyMissing, "key_missing"},           {CallerError::KeyInvalid, "key_invalid"},
     {CallerError::NotAllowed, "not_allowed"},           {CallerError::ModelNotFound, "model_not_found"},
@@ -58,7 +58,7 @@
     std::string message;
     /** No endpoint ran any part of the request, and none will. */
     bool notRun = true;
-    Duration retryAfter {};
+    Duration retryAfter{};
 };
 
 /** HTTP status of an error. */
--- a/src/chestnutcove/catalogueeditor.cpp
+++ b/src/chestnutcove/catalogueeditor.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int MaxTries = 20;
-constexpr Milliseconds SyncPause {20};
+constexpr Milliseconds SyncPause{20};
 
 std::uint64_t readHead(const TableRows &rows)
 {
@@ -19,7 +19,7 @@
         return 0;
     }
     const auto json = nlohmann::json::parse(it->second.value, nullptr, false);
-    return json.is_object() ? json.value("version", std::uint64_t {0}) : 0;
+    return json.is_object() ? json.value("version", std::uint64_t{0}) : 0;
 }
 
 }
@@ -97,7 +97,7 @@
     write.witnessKey = catalogueChangeKey(change.version);
     write.transaction.conditions = {{catalogueHeadKey(), headRowVersion}, {write.witnessKey, 0}};
     write.transaction.puts
-        = {{catalogueHeadKey(), nlohmann::json {{"version", change.version}}.dump()}, {write.witnessKey, change.toText()}};
+        = {{catalogueHeadKey(), nlohmann::json{{"version", change.version}}.dump()}, {write.witnessKey, change.toText()}};
     writer_.write(std::move(write), [this, edit, onDone, triesLeft, version = change.version](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
--- a/src/chestnutcove/endpointadapter.cpp
+++ b/src/chestnutcove/endpointadapter.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Milliseconds ControlTimeout {1000};
+constexpr Milliseconds ControlTimeout{1000};
 constexpr int CodeOk = 200;
 
 struct StreamState
@@ -32,7 +32,7 @@
     result.outputTokens = usage->value("completion_tokens", result.outputTokens);
     const auto details = usage->find("prompt_tokens_details");
     if (details != usage->end() && details->is_object()) {
-        result.cachedTokens = details->value("cached_tokens", std::uint64_t {0});
+        result.cachedTokens = details->value("cached_tokens", std::uint64_t{0});
     }
 }
 
@@ -169,7 +169,7 @@
     client_.send(get(engine ? "/load" : "/healthz"), [onState, engine](const HttpResult &result) {
         if (!engine) {
             const bool healthy = result.status.ok() && result.code == CodeOk;
-            onState(healthy ? absl::StatusOr<EndpointState>(EndpointState {}) : absl::UnavailableError("the service is not healthy"));
+            onState(healthy ? absl::StatusOr<EndpointState>(EndpointState{}) : absl::UnavailableError("the service is not healthy"));
             return;
         }
         const auto json = toJson(result);
@@ -177,7 +177,7 @@
             onState(json.status());
             return;
         }
-        onState(EndpointState {json->value("role", "mixed"), json->value("model", ""), json->value("running", std::uint64_t {0})});
+        onState(EndpointState{json->value("role", "mixed"), json->value("model", ""), json->value("running", std::uint64_t{0})});
     });
 }
 
@@ -190,7 +190,7 @@
             return;
         }
         CacheReport report;
-        report.first = json->value("first", std::uint64_t {0});
+        report.first = json->value("first", std::uint64_t{0});
         for (const auto &event : json->value("events", nlohmann::json::array())) {
             report.events.push_back({event.value("kind", "") == "stored", parseBlock(event.value("block", nlohmann::json()))});
         }
@@ -208,7 +208,7 @@
         }
         CacheReport report;
         report.whole = true;
-        report.next = json->value("next", std::uint64_t {0});
+        report.next = json->value("next", std::uint64_t{0});
         for (const auto &block : json->value("blocks", nlohmann::json::array())) {
             report.events.push_back({true, parseBlock(block)});
         }
@@ -225,7 +225,7 @@
     call.method = "POST";
     call.atMostOnce = true;
     call.headers = {{"Content-Type", "application/json"}};
-    call.body = nlohmann::json {{"action", action}, {"argument", argument}, {"fencing", fencing}}.dump();
+    call.body = nlohmann::json{{"action", action}, {"argument", argument}, {"fencing", fencing}}.dump();
     client_.send(std::move(call), [onDone](const HttpResult &result) {
         if (!result.status.ok()) {
             onDone(result.status);
--- a/src/chestnutcove/endpointlinks.cpp
+++ b/src/chestnutcove/endpointlinks.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /** How long the link of a removed endpoint stays for the answers that still run there. */
-constexpr std::chrono::minutes RetireTime {10};
-constexpr std::chrono::seconds ConnectPatience {1};
+constexpr std::chrono::minutes RetireTime{10};
+constexpr std::chrono::seconds ConnectPatience{1};
 
 LinkKey keyOf(const EndpointEntry &entry)
 {
@@ -31,6 +31,7 @@
     result.healthy = load.healthy();
     result.promptTokensTotal = load.prompt_tokens_total();
     result.outputTokensTotal = load.output_tokens_total();
+    result.requestsTotal = load.requests_total();
     return result;
 }
 
@@ -195,13 +196,13 @@
 Tick EndpointLinks::tickOf(const LinkKey &key) const
 {
     const auto it = byKey_.find(key);
-    return it == byKey_.end() ? Tick {} : it->second.tick;
+    return it == byKey_.end() ? Tick{} : it->second.tick;
 }
 
 TimePoint EndpointLinks::tickAskedAt(const LinkKey &key) const
 {
     const auto it = byKey_.find(key);
-    return it == byKey_.end() ? TimePoint {} : it->second.tickAskedAt;
+    return it == byKey_.end() ? TimePoint{} : it->second.tickAskedAt;
 }
 
 std::uint64_t EndpointLinks::highestEpochOf(const LinkKey &key) const
--- a/src/chestnutcove/endpointlinks.h
+++ b/src/chestnutcove/endpointlinks.h
@@ -25,7 +25,7 @@
     std::string gateway;
     std::uint64_t incarnation = 0;
     std::string sidecarKey;
-    Duration timeout {};
+    Duration timeout{};
 };
 
 /** Names one link: the endpoint and the address of its sidecar. A replaced endpoint keeps the old link while answers run on it. */
--- a/src/chestnutcove/endpointorders.cpp
+++ b/src/chestnutcove/endpointorders.cpp
@@ -62,12 +62,12 @@
     TableWrite write;
     write.attempt = token;
     write.witnessKey = IntentPrefix + token;
-    const nlohmann::json intent {{"token", token},
-                                 {"epoch", epoch_},
-                                 {"serves", order.serves},
-                                 {"dataCentre", order.dataCentre},
-                                 {"delta", order.delta},
-                                 {"endpoint", order.endpoint}};
+    const nlohmann::json intent{{"token", token},
+                                {"epoch", epoch_},
+                                {"serves", order.serves},
+                                {"dataCentre", order.dataCentre},
+                                {"delta", order.delta},
+                                {"endpoint", order.endpoint}};
     write.transaction.conditions = {{write.witnessKey, 0}};
     write.transaction.puts = {{write.witnessKey, intent.dump()}};
     writer_.write(std::move(write), [this](CommitOutcome) {
--- a/src/chestnutcove/fleetduty.cpp
+++ b/src/chestnutcove/fleetduty.cpp
@@ -12,7 +12,7 @@
 constexpr const char *PlanKey = "plan/roles";
 constexpr std::size_t MaxDecisions = 200;
 /** An order whose reply did not come counts as lost after this time; the role is then looked at again. */
-constexpr std::chrono::seconds OrderTimeout {30};
+constexpr std::chrono::seconds OrderTimeout{30};
 
 }
 
@@ -88,22 +88,23 @@
 
 void FleetDuty::measureDemand(TimePoint now)
 {
-    const Duration over = measuredAt_ == TimePoint {} ? interval_ : now - measuredAt_;
+    const Duration over = measuredAt_ == TimePoint{} ? interval_ : now - measuredAt_;
     measuredAt_ = now;
-    std::map<std::string, std::pair<double, double>> arrived;
+    std::map<std::string, Work> arrived;
+    // A restarted sidecar counts from zero.
+    const auto since = [](double before, double total) { return total >= before ? total - before : total; };
     for (const auto &[name, endpoint] : router_.endpoints()) {
-        auto &[prompt, output] = served_[name];
-        const double newPrompt = endpoint.load.promptTokensTotal;
-        const double newOutput = endpoint.load.outputTokensTotal;
-        // A restarted sidecar counts from zero.
-        arrived[endpoint.entry.serves].first += newPrompt >= prompt ? newPrompt - prompt : newPrompt;
-        arrived[endpoint.entry.serves].second += newOutput >= output ? newOutput - output : newOutput;
-        prompt = newPrompt;
-        output = newOutput;
+        Work &before = reported_[name];
+        const Work total{endpoint.load.promptTokensTotal, endpoint.load.outputTokensTotal, endpoint.load.requestsTotal};
+        Work &work = arrived[endpoint.entry.serves];
+        work.promptTokens += since(before.promptTokens, total.promptTokens);
+        work.outputTokens += since(before.outputTokens, total.outputTokens);
+        work.requests += since(before.requests, total.requests);
+        before = total;
     }
-    for (const auto &[serves, tokens] : arrived) {
+    for (const auto &[serves, work] : arrived) {
         const auto it = models_.try_emplace(serves, planOptions_).first;
-        it->second.plan.addDemand(tokens.first, tokens.second, over);
+        it->second.plan.addDemand(work.promptTokens, work.outputTokens, work.requests, over);
     }
 }
 
@@ -122,8 +123,8 @@
         view.usable = link.has_value() && endpoint.load.healthy && !endpoint.entry.draining;
         view.backlogSeconds = endpoint.load.queuedSeconds + endpoint.load.runningSeconds;
         view.cachedBlocks = endpoint.blocks.size();
-        view.speeds
-            = {endpoint.load.prefillTokensPerSecond, endpoint.load.decodeTokensPerSecond * static_cast<double>(endpoint.load.slots)};
+        const double answerSpeed = endpoint.load.decodeTokensPerSecond;
+        view.speeds = {endpoint.load.prefillTokensPerSecond, answerSpeed * static_cast<double>(endpoint.load.slots), answerSpeed};
         const auto wanted = wanted_.find(name);
         view.changing = wanted != wanted_.end() && wanted->second != nameOf(EndpointRoleNames, view.role);
         result[endpoint.entry.serves].push_back(std::move(view));
@@ -171,7 +172,7 @@
     write.attempt = absl::StrFormat("%016x", random_());
     write.witnessKey = PlanKey;
     write.transaction.conditions = {{PlanKey, planRowVersion_}};
-    write.transaction.puts = {{PlanKey, nlohmann::json {{"roles", wanted}, {"epoch", planEpoch_}, {"attempt", write.attempt}}.dump()}};
+    write.transaction.puts = {{PlanKey, nlohmann::json{{"roles", wanted}, {"epoch", planEpoch_}, {"attempt", write.attempt}}.dump()}};
     writer_.write(std::move(write), [this](CommitOutcome) {
         busy_ = false;
         // Whatever happened, the row tells; the order follows from it.
@@ -204,7 +205,7 @@
         order->set_action("role");
         order->set_argument(role);
         if (links_.send(*link, message)) {
-            given_[id] = GivenOrder {endpoint, role, now};
+            given_[id] = GivenOrder{endpoint, role, now};
             note("ordered " + endpoint + " to role " + role + " with epoch " + std::to_string(lease_.keeper().epoch()));
         }
     }
--- a/src/chestnutcove/fleetduty.h
+++ b/src/chestnutcove/fleetduty.h
@@ -52,8 +52,6 @@
         }
 
         FleetPlan plan;
-        double promptTokens = 0;
-        double outputTokens = 0;
         std::string lastReason;
     };
     struct GivenOrder
@@ -86,8 +84,14 @@
     DrainHandler onDrain_;
     std::mt19937_64 random_;
     std::map<std::string, Model> models_;
-    /** Served tokens that each endpoint's sidecar had reported at the last look. */
-    std::map<std::string, std::pair<double, double>> served_;
+    struct Work
+    {
+        double promptTokens = 0;
+        double outputTokens = 0;
+        double requests = 0;
+    };
+    /** What each endpoint's sidecar had reported at the last look. */
+    std::map<std::string, Work> reported_;
     TimePoint nextPlan_;
     TimePoint measuredAt_;
     /** Wanted roles by endpoint, as in the row. */
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -13,14 +13,14 @@
 namespace {
 
 constexpr const char *MembershipKey = "membership";
-constexpr std::chrono::seconds MaxConnectionAge {60};
-constexpr Milliseconds FastTick {20};
-constexpr Milliseconds SlowTick {100};
-constexpr std::chrono::seconds VmListInterval {2};
+constexpr std::chrono::seconds MaxConnectionAge{60};
+constexpr Milliseconds FastTick{20};
+constexpr Milliseconds SlowTick{100};
+constexpr std::chrono::seconds VmListInterval{2};
 /** Clocks of two VMs may drift apart by this part. */
 constexpr double DriftMargin = 1.1;
 constexpr std::size_t BodyLimitFactor = 4;
-constexpr std::chrono::minutes StopPatience {10};
+constexpr std::chrono::minutes StopPatience{10};
 
 LimiterOptions toLimiterOptions(const GatewayTiming &timing)
 {
@@ -60,7 +60,7 @@
     , log_(log)
     , metrics_(metrics)
     , incarnation_(incarnation)
-    , self_ {settings_.name, incarnation}
+    , self_{settings_.name, incarnation}
     , catalogue_(Catalogue())
     , client_(context.get_executor(), MaxConnectionAge)
     , table_(client_, {settings_.platformUrl, settings_.platformTimeout})
@@ -185,14 +185,14 @@
     if (const auto status = peers_.listen(settings_.link.listen.address, settings_.link.listen.port); !status.ok()) {
         return status;
     }
-    const GatewayMember self {self_, settings_.link.listen.address + ":" + std::to_string(peers_.port()), settings_.dataCentre};
+    const GatewayMember self{self_, settings_.link.listen.address + ":" + std::to_string(peers_.port()), settings_.dataCentre};
     const auto now = std::chrono::steady_clock::now();
     keeper_ = MembershipKeeper(self, {settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout}, now);
     peers_.setSelf(self);
 
     auto operators = std::make_shared<OperatorApi>(*this, context_);
     operatorServer_ = std::make_unique<HttpServer>(
-        HttpServerOptions {settings_.operators.address, settings_.operators.port, 1, settings_.maxBodyBytes, settings_.readTimeout},
+        HttpServerOptions{settings_.operators.address, settings_.operators.port, 1, settings_.maxBodyBytes, settings_.readTimeout},
         [operators](HttpRequest request, const HttpReply &reply) { operators->handle(std::move(request), reply); },
         [](std::uint64_t) {});
     for (HttpServer *server : {&callerServer_, operatorServer_.get()}) {
@@ -284,7 +284,7 @@
     const auto head = rows->find(catalogueHeadKey());
     if (head != rows->end()) {
         const auto json = nlohmann::json::parse(head->second.value, nullptr, false);
-        heads.catalogueVersion = json.is_object() ? json.value("version", std::uint64_t {0}) : 0;
+        heads.catalogueVersion = json.is_object() ? json.value("version", std::uint64_t{0}) : 0;
     }
     heads.membershipEpoch = keeper_.row().epoch;
     proof_.readSucceeded(startedAt, heads);
@@ -406,7 +406,7 @@
 void Gateway::onPeerState(const wire::PeerState &state)
 {
     const auto now = std::chrono::steady_clock::now();
-    const GatewayIdentity identity {state.name(), state.incarnation()};
+    const GatewayIdentity identity{state.name(), state.incarnation()};
     keeper_.heard(identity, {state.suspects().begin(), state.suspects().end()}, now);
     gate_.acknowledged(identity, state.membership_epoch(), now);
     const std::uint64_t ours = sync_.version();
@@ -532,7 +532,7 @@
         pending.push_back(identity.name + "-" + std::to_string(identity.incarnation));
     }
     const auto lease = [now](const LeaseKeeper &keeper) {
-        return nlohmann::json {
+        return nlohmann::json{
             {"holder", keeper.row().holder}, {"epoch", keeper.epoch()}, {"valid", keeper.isValid(now)}, {"mayAct", keeper.mayAct(now)}};
     };
     return {{"process", "gateway"},
--- a/src/chestnutcove/idempotencystore.cpp
+++ b/src/chestnutcove/idempotencystore.cpp
@@ -31,7 +31,7 @@
     write.attempt = absl::StrFormat("%016x", random_());
     write.witnessKey = rowKey(customer, service, key);
     write.transaction.conditions = {{write.witnessKey, 0}};
-    write.transaction.puts = {{write.witnessKey, nlohmann::json {{"attempt", write.attempt}}.dump()}};
+    write.transaction.puts = {{write.witnessKey, nlohmann::json{{"attempt", write.attempt}}.dump()}};
     writer_.write(std::move(write), [onDone = std::move(onDone)](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
--- a/src/chestnutcove/limitboard.cpp
+++ b/src/chestnutcove/limitboard.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Milliseconds BusyPollInterval {5};
+constexpr Milliseconds BusyPollInterval{5};
 
 }
 
--- a/src/chestnutcove/main.cpp
+++ b/src/chestnutcove/main.cpp
@@ -62,7 +62,7 @@
     asio::io_context context;
     Gateway gateway(*settings, context, log, metrics, randomIncarnation());
     return runRole(gateway, context, [&gateway] {
-        return nlohmann::json {
+        return nlohmann::json{
             {"ready", true}, {"callers", gateway.callerPort()}, {"operators", gateway.operatorPort()}, {"link", gateway.linkPort()}};
     });
 }
@@ -78,7 +78,7 @@
     Metrics metrics;
     asio::io_context context;
     Sidecar sidecar(*settings, context, log, metrics, randomIncarnation());
-    return runRole(sidecar, context, [&sidecar] { return nlohmann::json {{"ready", true}, {"link", sidecar.port()}}; });
+    return runRole(sidecar, context, [&sidecar] { return nlohmann::json{{"ready", true}, {"link", sidecar.port()}}; });
 }
 
 ExitCode checkSettings(const std::string &role, const std::string &file)
@@ -99,7 +99,7 @@
         std::cerr << keys.status().message() << '\n';
         return ExitCode::Failed;
     }
-    std::cout << nlohmann::json {{"publicKey", keys->publicKey}, {"secretKey", keys->secretKey}}.dump() << '\n';
+    std::cout << nlohmann::json{{"publicKey", keys->publicKey}, {"secretKey", keys->secretKey}}.dump() << '\n';
     return ExitCode::Done;
 }
 
--- a/src/chestnutcove/operatorapi.cpp
+++ b/src/chestnutcove/operatorapi.cpp
@@ -207,7 +207,7 @@
         respondError(reply, 400, std::string(entry.status().message()));
         return;
     }
-    CatalogueEdit change {kind, name, *entry, std::nullopt};
+    CatalogueEdit change{kind, name, *entry, std::nullopt};
     const auto expected = body.find("expectedVersion");
     if (expected != body.end()) {
         if (!expected->is_number_unsigned()) {
--- a/src/chestnutcove/operatorclient.cpp
+++ b/src/chestnutcove/operatorclient.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::chrono::seconds CallTimeout {30};
-constexpr std::chrono::seconds ConnectionAge {60};
+constexpr std::chrono::seconds CallTimeout{30};
+constexpr std::chrono::seconds ConnectionAge{60};
 
 }
 
@@ -41,7 +41,7 @@
     if (!result.status.ok()) {
         return absl::UnavailableError("no answer from " + url_ + ": " + std::string(result.status.message()));
     }
-    return OperatorAnswer {result.code, nlohmann::json::parse(result.body, nullptr, false)};
+    return OperatorAnswer{result.code, nlohmann::json::parse(result.body, nullptr, false)};
 }
 
 }
--- a/src/chestnutcove/operatorcommands.cpp
+++ b/src/chestnutcove/operatorcommands.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr int CodeOk = 200;
-constexpr std::chrono::seconds InForcePatience {6};
-constexpr std::chrono::milliseconds InForcePause {100};
+constexpr std::chrono::seconds InForcePatience{6};
+constexpr std::chrono::milliseconds InForcePause{100};
 
 std::string entryPath(const std::string &kind, const std::string &name)
 {
@@ -41,7 +41,7 @@
     if (file != "-") {
         return readSettingsFile(file);
     }
-    const std::string text {std::istreambuf_iterator<char>(std::cin), std::istreambuf_iterator<char>()};
+    const std::string text{std::istreambuf_iterator<char>(std::cin), std::istreambuf_iterator<char>()};
     auto json = nlohmann::json::parse(text, nullptr, false, true);
     if (json.is_discarded()) {
         return absl::InvalidArgumentError("standard input: not JSON");
@@ -100,7 +100,7 @@
     if (!answer) {
         return ExitCode::Failed;
     }
-    const auto version = answer->value("version", std::uint64_t {0});
+    const auto version = answer->value("version", std::uint64_t{0});
     if (options_.json) {
         std::cout << answer->dump() << '\n';
     } else {
@@ -122,7 +122,7 @@
     if (options_.json) {
         std::cout << answer->dump() << '\n';
     } else {
-        std::cout << "catalogue version " << answer->value("version", std::uint64_t {0}) << '\n';
+        std::cout << "catalogue version " << answer->value("version", std::uint64_t{0}) << '\n';
         printTable((*answer)["entries"], {"kind", "name", "version", "document"});
     }
     return ExitCode::Done;
@@ -149,7 +149,7 @@
         std::cerr << document.status().message() << '\n';
         return ExitCode::Usage;
     }
-    nlohmann::json body {{"document", *document}};
+    nlohmann::json body{{"document", *document}};
     if (expectedVersion) {
         body["expectedVersion"] = *expectedVersion;
     }
--- a/src/chestnutcove/peerlinks.cpp
+++ b/src/chestnutcove/peerlinks.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds ConnectPatience {1};
+constexpr std::chrono::seconds ConnectPatience{1};
 constexpr std::size_t MaxAsked = 64;
 
 }
--- a/src/chestnutcove/requestrunner.cpp
+++ b/src/chestnutcove/requestrunner.cpp
@@ -12,7 +12,7 @@
 constexpr double InitialExpectedOutput = 128;
 constexpr double OutputSmoothing = 0.1;
 constexpr std::size_t MaxTrails = 2000;
-constexpr Milliseconds MinQueueTimeout {100};
+constexpr Milliseconds MinQueueTimeout{100};
 constexpr int CodeOk = 200;
 constexpr int FirstErrorCode = 400;
 
@@ -97,12 +97,12 @@
 void RequestRunner::start(CallerRequest request)
 {
     const ActiveId id = ++lastActive_;
-    auto active = std::make_unique<Active>(Active {std::move(request)});
+    auto active = std::make_unique<Active>(Active{std::move(request)});
     CallerRequest &caller = active->caller;
     const TimePoint routeDeadline = caller.arrival + settings_.patienceOf(caller.serviceClass);
     active->flow = std::make_unique<RequestFlow>(flowOptions_, caller.idempotent, caller.isChat, routeDeadline);
-    active->query = RouteQuery {caller.serves, static_cast<double>(caller.promptTokens), expectedOutput(caller), caller.blocks, {}};
-    active->trail = RequestTrail {caller.publicId, customerName(caller), caller.serves, {}};
+    active->query = RouteQuery{caller.serves, static_cast<double>(caller.promptTokens), expectedOutput(caller), caller.blocks, {}};
+    active->trail = RequestTrail{caller.publicId, customerName(caller), caller.serves, {}};
     active->created = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     byConnection_.emplace(caller.connection, id);
     retryBudget_.firstAttempt();
@@ -217,7 +217,7 @@
 
 void RequestRunner::submit(ActiveId id, Active &active, const RouteChoice &choice, const LinkKey &link, TimePoint now)
 {
-    const RequestId attempt {incarnation_, ++lastAttempt_};
+    const RequestId attempt{incarnation_, ++lastAttempt_};
     const Tick tick = links_.tickOf(link);
     const Duration queueTimeout = std::max<Duration>(active.flow->routeDeadline() - now, MinQueueTimeout);
     active.flow->attempt(attempt, choice.endpoint, tick.incarnation, queueTimeout, now);
@@ -319,7 +319,7 @@
 
 RequestRunner::Active *RequestRunner::find(const wire::RequestId &wireId, ActiveId &activeId)
 {
-    const auto it = attempts_.find(RequestId {wireId.incarnation(), wireId.number()});
+    const auto it = attempts_.find(RequestId{wireId.incarnation(), wireId.number()});
     if (it == attempts_.end()) {
         return nullptr;
     }
@@ -335,7 +335,7 @@
         take(id, step);
         return;
     }
-    if (active.firstChunkAt == TimePoint {}) {
+    if (active.firstChunkAt == TimePoint{}) {
         active.firstChunkAt = now;
         metrics_.distribution("first_token_seconds").add(toSeconds(now - active.caller.arrival));
     }
@@ -480,12 +480,12 @@
             sendEvents(active, wire::Chunk());
         }
         if (caller.wantsUsage) {
-            const nlohmann::json usage {{"id", caller.publicId},
-                                        {"object", "chat.completion.chunk"},
-                                        {"created", active.created},
-                                        {"model", caller.serves},
-                                        {"choices", nlohmann::json::array()},
-                                        {"usage", usageOf(active)}};
+            const nlohmann::json usage{{"id", caller.publicId},
+                                       {"object", "chat.completion.chunk"},
+                                       {"created", active.created},
+                                       {"model", caller.serves},
+                                       {"choices", nlohmann::json::array()},
+                                       {"usage", usageOf(active)}};
             caller.reply.append(eventOf(usage.dump()));
         }
         caller.reply.append(eventOf("[DONE]"));
@@ -500,12 +500,12 @@
 void RequestRunner::answerWhole(Active &active)
 {
     const CallerRequest &caller = active.caller;
-    const nlohmann::json body {{"id", caller.publicId},
-                               {"object", "chat.completion"},
-                               {"created", active.created},
-                               {"model", caller.serves},
-                               {"choices", active.answer.choices()},
-                               {"usage", usageOf(active)}};
+    const nlohmann::json body{{"id", caller.publicId},
+                              {"object", "chat.completion"},
+                              {"created", active.created},
+                              {"model", caller.serves},
+                              {"choices", active.answer.choices()},
+                              {"usage", usageOf(active)}};
     caller.reply.respond(CodeOk,
                          {{"Content-Type", "application/json"}, {"X-Request-Id", caller.publicId}},
                          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
@@ -678,7 +678,7 @@
 {
     if (active.caller.customer) {
         const std::uint64_t prompt = active.promptTokens > 0 ? active.promptTokens : active.caller.promptTokens;
-        onUsage_(active.caller.customer->name, UsageFigures {1, prompt, active.deliveredTokens});
+        onUsage_(active.caller.customer->name, UsageFigures{1, prompt, active.deliveredTokens});
     }
 }
 
--- a/src/chestnutcove/settings.cpp
+++ b/src/chestnutcove/settings.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr NameTable<LogLevel, 4> LogLevelNames {{
+constexpr NameTable<LogLevel, 4> LogLevelNames{{
     {LogLevel::Debug, "debug"},
     {LogLevel::Info, "info"},
     {LogLevel::Warning, "warning"},
@@ -122,7 +122,7 @@
     options.roleChangeTime = reader.duration("roleChangeTime", milliseconds(options.roleChangeTime), 100ms, 10min);
     options.horizon = reader.duration("horizon", milliseconds(options.horizon), 1s, 1h);
     options.dwell = reader.duration("dwell", milliseconds(options.dwell), 1s, 24h);
-    options.comfortableUse = reader.number("comfortableUse", options.comfortableUse, 0.1, 1);
+    options.comfortableUse = reader.number("comfortableUse", options.comfortableUse, 0.1, 2);
     options.targetUse = reader.number("targetUse", options.targetUse, 0.1, 1);
     options.longAverage = reader.duration("longAverage", milliseconds(options.longAverage), 10s, 24h);
     options.giveBackAfter = reader.duration("giveBackAfter", milliseconds(options.giveBackAfter), 1min, 24h);
--- a/src/chestnutcove/settings.h
+++ b/src/chestnutcove/settings.h
@@ -35,31 +35,31 @@
 
 struct GatewayTiming
 {
-    Milliseconds poll {1000};
+    Milliseconds poll{1000};
     /** Age of the newest proof that the store was read, past which keyed requests are refused and shares are not spent. */
-    Milliseconds freshness {4000};
-    Milliseconds peerInterval {250};
-    Milliseconds peerTimeout {3000};
-    Milliseconds endpointHeartbeat {250};
-    Milliseconds endpointTimeout {1500};
-    Milliseconds leaseDuration {6000};
+    Milliseconds freshness{4000};
+    Milliseconds peerInterval{250};
+    Milliseconds peerTimeout{3000};
+    Milliseconds endpointHeartbeat{250};
+    Milliseconds endpointTimeout{1500};
+    Milliseconds leaseDuration{6000};
     /** Greatest age at which a sidecar still takes an order or a request as fresh. */
-    Milliseconds orderFreshness {3000};
-    Milliseconds grantLifetime {500};
-    Milliseconds usageFlush {2000};
-    Milliseconds usageWindow {60000};
-    Milliseconds usageGrace {10000};
-    Milliseconds planInterval {1000};
-    Milliseconds drainNotice {500};
-    Milliseconds acceptTimeout {500};
-    Milliseconds answerSilence {15000};
+    Milliseconds orderFreshness{3000};
+    Milliseconds grantLifetime{500};
+    Milliseconds usageFlush{2000};
+    Milliseconds usageWindow{60000};
+    Milliseconds usageGrace{10000};
+    Milliseconds planInterval{1000};
+    Milliseconds drainNotice{500};
+    Milliseconds acceptTimeout{500};
+    Milliseconds answerSilence{15000};
 };
 
 struct PatienceSettings
 {
-    Milliseconds urgent {2000};
-    Milliseconds standard {5000};
-    Milliseconds bulk {20000};
+    Milliseconds urgent{2000};
+    Milliseconds standard{5000};
+    Milliseconds bulk{20000};
 };
 
 struct GatewaySettings
@@ -69,12 +69,12 @@
     ListenSettings callers;
     std::uint64_t callerThreads = 2;
     std::uint64_t maxBodyBytes = 4U << 20U;
-    Milliseconds readTimeout {15000};
+    Milliseconds readTimeout{15000};
     ListenSettings operators;
     std::string operatorToken;
     LinkSettings link;
     std::string platformUrl;
-    Milliseconds platformTimeout {1000};
+    Milliseconds platformTimeout{1000};
     std::string keyPepper;
     /** Link addresses to try at the start, for a store that is down. */
     std::vector<std::string> peers;
@@ -91,7 +91,7 @@
     Plain,
 };
 
-inline constexpr NameTable<EndpointKind, 2> EndpointKindNames {{
+inline constexpr NameTable<EndpointKind, 2> EndpointKindNames{{
     {EndpointKind::Engine, "engine"},
     {EndpointKind::Plain, "plain"},
 }};
@@ -109,11 +109,11 @@
     std::uint64_t maxQueued = 512;
     double prefillTokensPerSecond = 8000;
     double decodeTokensPerSecond = 40;
-    Milliseconds probeInterval {500};
-    Milliseconds orderFreshness {3000};
-    Milliseconds requestTimeout {600000};
-    Milliseconds answerSilence {10000};
-    Milliseconds gatewayTimeout {5000};
+    Milliseconds probeInterval{500};
+    Milliseconds orderFreshness{3000};
+    Milliseconds requestTimeout{600000};
+    Milliseconds answerSilence{10000};
+    Milliseconds gatewayTimeout{5000};
     LogLevel logLevel = LogLevel::Info;
 };
 
@@ -122,7 +122,7 @@
     Sidecar,
 };
 
-inline constexpr NameTable<SettingsRole, 2> SettingsRoleNames {{
+inline constexpr NameTable<SettingsRole, 2> SettingsRoleNames{{
     {SettingsRole::Gateway, "gateway"},
     {SettingsRole::Sidecar, "sidecar"},
 }};
--- a/src/chestnutcove/sidecar.cpp
+++ b/src/chestnutcove/sidecar.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-constexpr Milliseconds TickInterval {20};
+constexpr Milliseconds TickInterval{20};
 constexpr std::uint32_t UnhealthyAfterProbes = 2;
-constexpr std::chrono::seconds MaxConnectionAge {60};
+constexpr std::chrono::seconds MaxConnectionAge{60};
 constexpr std::size_t CacheBlocksPerReply = 2000;
 constexpr int CodeOk = 200;
 /** Time for an ordered state to show in the endpoint's own report. */
-constexpr std::chrono::seconds VerifyTime {20};
+constexpr std::chrono::seconds VerifyTime{20};
 constexpr int FirstServerError = 500;
 
 RequestId fromWire(const wire::RequestId &id)
@@ -164,7 +164,7 @@
 void Sidecar::onCancel(const LinkServer::PeerId &peer, const wire::Cancel &cancel)
 {
     const RequestId id = fromWire(cancel.id());
-    const Tick tick {cancel.sidecar_incarnation(), cancel.tick_us()};
+    const Tick tick{cancel.sidecar_incarnation(), cancel.tick_us()};
     const CancelResult result = dispatcher_.cancel(id, tick, std::chrono::steady_clock::now());
     wire::Envelope reply;
     auto *body = reply.mutable_cancel_reply();
@@ -194,7 +194,7 @@
 void Sidecar::onHeartbeat(const LinkServer::PeerId &peer, const wire::Heartbeat &heartbeat)
 {
     const auto now = std::chrono::steady_clock::now();
-    gateways_[heartbeat.incarnation()] = Gateway {peer, heartbeat.gateway(), now};
+    gateways_[heartbeat.incarnation()] = Gateway{peer, heartbeat.gateway(), now};
     catalogueDrain_ = heartbeat.drain();
     wire::Envelope reply;
     auto *body = reply.mutable_heartbeat_reply();
@@ -216,7 +216,7 @@
 
 void Sidecar::onOrder(const LinkServer::PeerId &peer, const wire::Order &order)
 {
-    const FencedOrder fenced {order.order_id(), order.epoch(), {order.sidecar_incarnation(), order.tick_us()}};
+    const FencedOrder fenced{order.order_id(), order.epoch(), {order.sidecar_incarnation(), order.tick_us()}};
     const OrderVerdict verdict = orders_.check(fenced, std::chrono::steady_clock::now());
     log_.info("order received",
               {{"action", order.action()},
@@ -226,7 +226,7 @@
     lastOrder_ = order.action() + " " + order.argument() + ": " + std::string(nameOf(OrderVerdictNames, verdict));
     if (verdict == OrderVerdict::Accepted) {
         // What waits goes to other endpoints; what runs finishes first.
-        pendingOrder_ = PendingOrder {peer, order};
+        pendingOrder_ = PendingOrder{peer, order};
         dispatcher_.setDraining(true);
         refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, std::chrono::steady_clock::now()));
         advanceOrder(std::chrono::steady_clock::now());
@@ -352,8 +352,9 @@
                                  decode > 0 ? static_cast<double>(running.outputTokens - 1) / decode : 0);
     }
     dispatcher_.finished(id, static_cast<double>(result.promptTokens), static_cast<double>(result.outputTokens), now);
-    promptTokensTotal_ += static_cast<double>(result.promptTokens);
+    promptTokensTotal_ += static_cast<double>(result.promptTokens - std::min(result.cachedTokens, result.promptTokens));
     outputTokensTotal_ += static_cast<double>(result.outputTokens);
+    requestsTotal_ += 1;
     running.result = std::move(result);
     flush(id, running);
     dispatchReady();
@@ -577,6 +578,7 @@
     load.set_slots(dispatcher_.slots());
     load.set_prompt_tokens_total(promptTokensTotal_);
     load.set_output_tokens_total(outputTokensTotal_);
+    load.set_requests_total(requestsTotal_);
 }
 
 nlohmann::json Sidecar::dump() const
--- a/src/chestnutcove/sidecar.h
+++ b/src/chestnutcove/sidecar.h
@@ -124,6 +124,7 @@
     std::optional<PendingOrder> pendingOrder_;
     double promptTokensTotal_ = 0;
     double outputTokensTotal_ = 0;
+    double requestsTotal_ = 0;
     std::uint32_t failedProbes_ = 0;
     bool cacheBusy_ = false;
     bool catalogueDrain_ = false;
--- a/src/chestnutcove/usagereporter.cpp
+++ b/src/chestnutcove/usagereporter.cpp
@@ -143,7 +143,7 @@
             return;
         }
         const auto own = rows->find(row);
-        const auto stored = own == rows->end() ? absl::StatusOr<CustomerUsage>(CustomerUsage {}) : usageFromText(own->second.value);
+        const auto stored = own == rows->end() ? absl::StatusOr<CustomerUsage>(CustomerUsage{}) : usageFromText(own->second.value);
         if (!stored.ok()) {
             log_.error("usage row unreadable", {{"row", row}});
             ledger_.flushUnknown();
@@ -176,7 +176,7 @@
         const auto it = rows->find(ProgressKey);
         const auto json = it == rows->end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
         progressEpoch_ = epoch;
-        progress_ = json.is_object() ? json.value("reported", std::uint64_t {0}) : currentWindow() - FirstLookBack;
+        progress_ = json.is_object() ? json.value("reported", std::uint64_t{0}) : currentWindow() - FirstLookBack;
     });
 }
 
@@ -255,7 +255,7 @@
     const std::uint64_t epoch = lease_.keeper().epoch();
     const auto it = rows.find(intentKey(window));
     const auto json = it == rows.end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
-    const std::uint64_t intended = json.is_object() ? json.value("epoch", std::uint64_t {0}) : 0;
+    const std::uint64_t intended = json.is_object() ? json.value("epoch", std::uint64_t{0}) : 0;
     if (intended > epoch) {
         step_ = Step::Idle;
         return;
@@ -268,7 +268,7 @@
     write.attempt = newAttempt();
     write.witnessKey = intentKey(window);
     write.transaction.conditions = {{write.witnessKey, versionOf(rows, write.witnessKey)}};
-    write.transaction.puts = {{write.witnessKey, nlohmann::json {{"epoch", epoch}, {"attempt", write.attempt}}.dump()}};
+    write.transaction.puts = {{write.witnessKey, nlohmann::json{{"epoch", epoch}, {"attempt", write.attempt}}.dump()}};
     writer_.write(std::move(write), [this, window, figures](CommitOutcome outcome) {
         if (outcome == CommitOutcome::Committed) {
             send(window, figures);
@@ -293,11 +293,11 @@
     call.headers = {{"Content-Type", "application/json"}};
     call.timeout = std::min(settings_.platformTimeout, left);
     call.atMostOnce = true;
-    call.body = nlohmann::json {{"window", window},
-                                {"windowMs", settings_.timing.usageWindow.count()},
-                                {"epoch", lease_.keeper().epoch()},
-                                {"reporter", settings_.name},
-                                {"customers", body["customers"]}}
+    call.body = nlohmann::json{{"window", window},
+                               {"windowMs", settings_.timing.usageWindow.count()},
+                               {"epoch", lease_.keeper().epoch()},
+                               {"reporter", settings_.name},
+                               {"customers", body["customers"]}}
                     .dump();
     client_.send(std::move(call), [this, window](const HttpResult &result) {
         if (result.status.ok() && result.code == CodeOk) {
@@ -317,7 +317,7 @@
     metrics_.distribution("usage_report_delay_seconds").add(std::chrono::duration<double>(late).count());
     log_.info("usage window reported", {{"window", std::to_string(window)}, {"epoch", std::to_string(lease_.keeper().epoch())}});
     TableTransaction transaction;
-    transaction.puts = {{ProgressKey, nlohmann::json {{"reported", window}}.dump()}};
+    transaction.puts = {{ProgressKey, nlohmann::json{{"reported", window}}.dump()}};
     table_.commit(transaction, [this, window](CommitOutcome) {
         // Where the row was not written, a later holder reports the same figures again.
         progress_ = window;
--- a/src/libauthority/leasekeeper.cpp
+++ b/src/libauthority/leasekeeper.cpp
@@ -8,7 +8,7 @@
 
 std::string LeaseRow::toText(const std::string &attempt) const
 {
-    return nlohmann::json {{"holder", holder}, {"incarnation", incarnation}, {"epoch", epoch}, {"beat", beat}, {"attempt", attempt}}.dump();
+    return nlohmann::json{{"holder", holder}, {"incarnation", incarnation}, {"epoch", epoch}, {"beat", beat}, {"attempt", attempt}}.dump();
 }
 
 absl::StatusOr<LeaseRow> LeaseRow::fromText(const std::string &text)
@@ -17,10 +17,10 @@
     if (!json.is_object() || !json.contains("epoch") || !json["epoch"].is_number_unsigned()) {
         return absl::DataLossError("unreadable lease row");
     }
-    return LeaseRow {json.value("holder", ""),
-                     json.value("incarnation", std::uint64_t {0}),
-                     json["epoch"].get<std::uint64_t>(),
-                     json.value("beat", std::uint64_t {0})};
+    return LeaseRow{json.value("holder", ""),
+                    json.value("incarnation", std::uint64_t{0}),
+                    json["epoch"].get<std::uint64_t>(),
+                    json.value("beat", std::uint64_t{0})};
 }
 
 LeaseKeeper::LeaseKeeper(std::string holder, std::uint64_t incarnation, LeaseOptions options)
@@ -42,7 +42,7 @@
     }
     known_ = true;
     version_ = version;
-    const LeaseRow read = row.value_or(LeaseRow {});
+    const LeaseRow read = row.value_or(LeaseRow{});
     if (read != row_) {
         row_ = read;
         unchangedSince_ = now;
@@ -57,7 +57,7 @@
     if (!known_ || pending_ || released_) {
         return std::nullopt;
     }
-    LeaseWrite write {row_, version_};
+    LeaseWrite write{row_, version_};
     if (isOurs() && isValid(now)) {
         if (now < renewAt_) {
             return std::nullopt;
@@ -69,9 +69,9 @@
             return std::nullopt;
         }
         // A lease of ours that lapsed is acquired anew: someone may have acted meanwhile.
-        write.row = LeaseRow {holder_, incarnation_, row_.epoch + 1, 0};
+        write.row = LeaseRow{holder_, incarnation_, row_.epoch + 1, 0};
     }
-    pending_ = Pending {write, now};
+    pending_ = Pending{write, now};
     return write;
 }
 
@@ -119,8 +119,8 @@
     if (!held) {
         return std::nullopt;
     }
-    LeaseWrite write {LeaseRow {"", 0, row_.epoch, row_.beat + 1}, version_};
-    pending_ = Pending {write, now};
+    LeaseWrite write{LeaseRow{"", 0, row_.epoch, row_.beat + 1}, version_};
+    pending_ = Pending{write, now};
     return write;
 }
 
--- a/src/libauthority/leasekeeper.h
+++ b/src/libauthority/leasekeeper.h
@@ -86,9 +86,9 @@
     /** Since when the row's version has not changed, on our clock. */
     TimePoint unchangedSince_;
     /** End of validity; only a committed write of ours moves it. */
-    TimePoint validUntil_ {};
-    TimePoint acquiredAt_ {};
-    TimePoint renewAt_ {};
+    TimePoint validUntil_{};
+    TimePoint acquiredAt_{};
+    TimePoint renewAt_{};
     struct Pending
     {
         LeaseWrite write;
--- a/src/libauthority/ordergate.h
+++ b/src/libauthority/ordergate.h
@@ -28,7 +28,7 @@
     Busy,
 };
 
-inline constexpr NameTable<OrderVerdict, 5> OrderVerdictNames {{
+inline constexpr NameTable<OrderVerdict, 5> OrderVerdictNames{{
     {OrderVerdict::Accepted, "accepted"},
     {OrderVerdict::Stale, "stale"},
     {OrderVerdict::Superseded, "superseded"},
--- a/src/libbase/documentreader.cpp
+++ b/src/libbase/documentreader.cpp
@@ -31,7 +31,7 @@
 
 std::optional<std::chrono::milliseconds> parseDuration(const std::string &text)
 {
-    constexpr std::array<std::pair<std::string_view, double>, 4> Units {{{"ms", 1.0}, {"s", 1e3}, {"min", 6e4}, {"h", 3.6e6}}};
+    constexpr std::array<std::pair<std::string_view, double>, 4> Units{{{"ms", 1.0}, {"s", 1e3}, {"min", 6e4}, {"h", 3.6e6}}};
     double amount = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), amount);
     if (parsed.ec != std::errc() || amount < 0) {
--- a/src/libbase/metrics.cpp
+++ b/src/libbase/metrics.cpp
@@ -18,7 +18,7 @@
 
 namespace acc = boost::accumulators;
 
-constexpr std::array<double, 3> Probabilities {0.5, 0.95, 0.99};
+constexpr std::array<double, 3> Probabilities{0.5, 0.95, 0.99};
 constexpr const char *Prefix = "chestnutcove_";
 
 using Accumulator = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
--- a/src/libbase/rendezvous.h
+++ b/src/libbase/rendezvous.h
@@ -12,7 +12,9 @@
 
 namespace Chestnutcove {
 
-std::uint64_t rendezvousScore(std::string_view key, std::string_view candidate);
+std::uint64_t rendezvousHash(std::string_view text);
+/** The score of two hashes, for callers that keep them. */
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t candidateHash);
 
 /** The first @p count candidates in the order of their score for the key. */
 std::vector<std::string> rendezvous(std::string_view key, std::vector<std::string> candidates, std::size_t count);
--- a/src/libcatalogue/callerkey.cpp
+++ b/src/libcatalogue/callerkey.cpp
@@ -18,7 +18,7 @@
 
 std::string keyedHash(std::string_view secret, const std::string &pepper)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned length = 0;
     HMAC(EVP_sha256(),
          pepper.data(),
@@ -50,7 +50,7 @@
     }
     GrantedKey result;
     result.key = std::string(Prefix) + *name + "-" + *secret;
-    result.entry = KeyEntry {*name, customer, keyedHash(*secret, pepper)};
+    result.entry = KeyEntry{*name, customer, keyedHash(*secret, pepper)};
     return result;
 }
 
--- a/src/libcatalogue/catalogue.cpp
+++ b/src/libcatalogue/catalogue.cpp
@@ -30,11 +30,11 @@
 
 std::string CatalogueChange::toText() const
 {
-    const nlohmann::json json {{"version", version},
-                               {"kind", nameOf(EntryKindNames, kind)},
-                               {"name", name},
-                               {"document", entry ? toJson(*entry) : nlohmann::json()},
-                               {"attempt", attempt}};
+    const nlohmann::json json{{"version", version},
+                              {"kind", nameOf(EntryKindNames, kind)},
+                              {"name", name},
+                              {"document", entry ? toJson(*entry) : nlohmann::json()},
+                              {"attempt", attempt}};
     return json.dump();
 }
 
@@ -171,7 +171,7 @@
                            {"version", version},
                            {"document", entry ? toJson(*entry) : nlohmann::json()}});
     }
-    return nlohmann::json {{"version", version_}, {"entries", std::move(entries)}}.dump();
+    return nlohmann::json{{"version", version_}, {"entries", std::move(entries)}}.dump();
 }
 
 absl::StatusOr<Catalogue> Catalogue::fromText(const std::string &text)
@@ -188,7 +188,7 @@
         if (!kind || !item.contains("document")) {
             return parseFault("entry of a snapshot");
         }
-        result.entryVersions_[entryPath(*kind, name)] = item.value("version", std::uint64_t {0});
+        result.entryVersions_[entryPath(*kind, name)] = item.value("version", std::uint64_t{0});
         if (item["document"].is_null()) {
             continue;
         }
--- a/src/libcatalogue/entry.h
+++ b/src/libcatalogue/entry.h
@@ -23,7 +23,7 @@
     Key,
 };
 
-inline constexpr NameTable<EntryKind, 5> EntryKindNames {{
+inline constexpr NameTable<EntryKind, 5> EntryKindNames{{
     {EntryKind::Customer, "customer"},
     {EntryKind::Model, "model"},
     {EntryKind::Service, "service"},
@@ -38,7 +38,7 @@
     Bulk,
 };
 
-inline constexpr NameTable<ServiceClass, 3> ServiceClassNames {{
+inline constexpr NameTable<ServiceClass, 3> ServiceClassNames{{
     {ServiceClass::Urgent, "urgent"},
     {ServiceClass::Standard, "standard"},
     {ServiceClass::Bulk, "bulk"},
@@ -52,7 +52,7 @@
     Plain,
 };
 
-inline constexpr NameTable<EndpointRole, 4> EndpointRoleNames {{
+inline constexpr NameTable<EndpointRole, 4> EndpointRoleNames{{
     {EndpointRole::Mixed, "mixed"},
     {EndpointRole::Prefill, "prefill"},
     {EndpointRole::Decode, "decode"},
--- a/src/libdelivery/answerassembler.cpp
+++ b/src/libdelivery/answerassembler.cpp
@@ -79,7 +79,7 @@
     readPending();
     nlohmann::json result = nlohmann::json::array();
     for (const auto &[index, choice] : choices_) {
-        nlohmann::json message {{"role", choice.role}, {"content", choice.content}};
+        nlohmann::json message{{"role", choice.role}, {"content", choice.content}};
         if (!choice.toolCalls.empty()) {
             message["tool_calls"] = nlohmann::json::array();
             for (const auto &[position, call] : choice.toolCalls) {
--- a/src/libdelivery/dispatcher.cpp
+++ b/src/libdelivery/dispatcher.cpp
@@ -69,14 +69,14 @@
     record.handle = ++lastHandle_;
     record.cost = costOf(request);
     handles_[record.handle] = request.id;
-    queue_.push(QueuedRequest {record.handle,
-                               request.customer,
-                               request.serviceClass,
-                               request.weight,
-                               workOf(request),
-                               record.cost,
-                               now,
-                               now + request.queueTimeout});
+    queue_.push(QueuedRequest{record.handle,
+                              request.customer,
+                              request.serviceClass,
+                              request.weight,
+                              workOf(request),
+                              record.cost,
+                              now,
+                              now + request.queueTimeout});
     records_.emplace(request.id, std::move(record));
     return decision;
 }
--- a/src/libdelivery/dispatcher.h
+++ b/src/libdelivery/dispatcher.h
@@ -35,7 +35,7 @@
     Evicted,
 };
 
-inline constexpr NameTable<RefusalReason, 11> RefusalReasonNames {{
+inline constexpr NameTable<RefusalReason, 11> RefusalReasonNames{{
     {RefusalReason::None, "none"},
     {RefusalReason::Stale, "stale"},
     {RefusalReason::Duplicate, "duplicate"},
@@ -68,7 +68,7 @@
     double weight = 1;
     double promptTokens = 0;
     double expectedOutputTokens = 0;
-    Duration queueTimeout {};
+    Duration queueTimeout{};
 };
 
 struct Refusal
@@ -84,7 +84,7 @@
     /** A request that had to make room; it was not run. */
     std::optional<RequestId> evicted;
     /** For a refusal by load: when a retry may succeed. */
-    Duration retryAfter {};
+    Duration retryAfter{};
 };
 
 enum class CancelResult {
--- a/src/libdelivery/requestflow.cpp
+++ b/src/libdelivery/requestflow.cpp
@@ -83,7 +83,7 @@
 
 FlowStep RequestFlow::linkLost(TimePoint now)
 {
-    return phase_ == Phase::Submitted || phase_ == Phase::Accepted ? lost(now) : FlowStep {};
+    return phase_ == Phase::Submitted || phase_ == Phase::Accepted ? lost(now) : FlowStep{};
 }
 
 FlowStep RequestFlow::lost(TimePoint now)
--- a/src/libdelivery/requestflow.h
+++ b/src/libdelivery/requestflow.h
@@ -41,7 +41,7 @@
     EndpointRefused,
 };
 
-inline constexpr NameTable<FlowFailure, 5> FlowFailureNames {{
+inline constexpr NameTable<FlowFailure, 5> FlowFailureNames{{
     {FlowFailure::None, "none"},
     {FlowFailure::NoCapacity, "no_capacity"},
     {FlowFailure::EndpointFailed, "endpoint_failed"},
@@ -56,7 +56,7 @@
     /** For Fail: no endpoint ran any part of it, and none will. */
     bool notRun = false;
     /** For Fail: when a retry may succeed; zero where unknown. */
-    Duration retryAfter {};
+    Duration retryAfter{};
     /** The lost attempt still needs a Cancel, whose answer nobody waits for. */
     bool cancelLost = false;
 };
@@ -137,7 +137,7 @@
     RequestId attemptId_;
     std::string endpoint_;
     std::uint64_t sidecarIncarnation_ = 0;
-    Duration queueTimeout_ {};
+    Duration queueTimeout_{};
     std::vector<std::string> excluded_;
     TimePoint deadline_ = TimePoint::max();
     std::size_t attempts_ = 0;
--- a/src/libfleet/fleetplan.cpp
+++ b/src/libfleet/fleetplan.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr std::array<EndpointRole, 3> EngineRoles {EndpointRole::Mixed, EndpointRole::Prefill, EndpointRole::Decode};
+constexpr std::array<EndpointRole, 3> EngineRoles{EndpointRole::Mixed, EndpointRole::Prefill, EndpointRole::Decode};
 /** An overload must last this long before an endpoint is ordered, since ordered ones come late anyway. */
-constexpr std::chrono::minutes OrderAfter {2};
+constexpr std::chrono::minutes OrderAfter{2};
 
 std::map<EndpointRole, std::size_t> countRoles(const std::vector<EngineView> &engines)
 {
@@ -53,13 +53,15 @@
     : options_(options)
     , shortPrefill_(options.shortAverage)
     , shortDecode_(options.shortAverage)
+    , shortRequests_(options.shortAverage)
     , longPrefill_(options.longAverage)
     , longDecode_(options.longAverage)
 {
 }
 
-void FleetPlan::addDemand(double promptTokens, double outputTokens, Duration over)
+void FleetPlan::addDemand(double promptTokens, double outputTokens, double requests, Duration over)
 {
+    shortRequests_.add(requests, over);
     shortPrefill_.add(promptTokens, over);
     shortDecode_.add(outputTokens, over);
     longPrefill_.add(promptTokens, over);
@@ -82,9 +84,11 @@
     if (role == EndpointRole::Prefill) {
         speeds.prefillTokensPerSecond *= options_.tunedGain;
         speeds.decodeTokensPerSecond *= options_.tunedLoss;
+        speeds.answerTokensPerSecond *= options_.tunedLoss;
     } else if (role == EndpointRole::Decode) {
         speeds.prefillTokensPerSecond *= options_.tunedLoss;
         speeds.decodeTokensPerSecond *= options_.tunedGain;
+        speeds.answerTokensPerSecond *= options_.tunedGain;
     }
     return speeds;
 }
@@ -98,49 +102,62 @@
         if (engine.usable && engine.role == EndpointRole::Mixed && known) {
             sum.prefillTokensPerSecond += engine.speeds.prefillTokensPerSecond;
             sum.decodeTokensPerSecond += engine.speeds.decodeTokensPerSecond;
+            sum.answerTokensPerSecond += engine.speeds.answerTokensPerSecond;
             count += 1;
         }
     }
     if (count > 0) {
-        options_.mixed = {sum.prefillTokensPerSecond / count, sum.decodeTokensPerSecond / count};
+        options_.mixed = {sum.prefillTokensPerSecond / count, sum.decodeTokensPerSecond / count, sum.answerTokensPerSecond / count};
     }
 }
 
 double FleetPlan::useOf(const std::map<EndpointRole, std::size_t> &roles, double prefillPerSecond, double decodePerSecond) const
 {
-    // Each kind of work goes to the engines that are best at it; what remains goes to the others. The use is the factor by which the
-    // fleet's time would have to grow, found by bisection.
-    const auto fits = [&](double use) {
-        double prefill = prefillPerSecond;
-        double decode = decodePerSecond;
-        std::map<EndpointRole, double> time;
-        for (const auto &[role, count] : roles) {
-            time[role] = use * static_cast<double>(count);
+    // A request runs whole on one engine, so an engine does as much of the mix as its scarcer speed allows.
+    constexpr double Unlimited = 1e12;
+    double capacity = 0;
+    for (const auto &[role, count] : roles) {
+        const RoleSpeeds speeds = speedsOf(role);
+        const double byPrefill = prefillPerSecond > 0 ? speeds.prefillTokensPerSecond / prefillPerSecond : Unlimited;
+        const double byDecode = decodePerSecond > 0 ? speeds.decodeTokensPerSecond / decodePerSecond : Unlimited;
+        capacity += static_cast<double>(count) * std::min(byPrefill, byDecode);
+    }
+    return capacity > 0 ? 1 / capacity : Unlimited;
+}
+
+bool FleetPlan::meetsTargets(EndpointRole role) const
+{
+    const RoleSpeeds speeds = speedsOf(role);
+    const double usualPrompt = shortPrefill_.perSecond() / std::max(shortRequests_.perSecond(), 1e-9);
+    const double promptSeconds = usualPrompt / std::max(speeds.prefillTokensPerSecond, 1e-9);
+    const double tokenSeconds = 1 / std::max(speeds.answerTokensPerSecond, 1e-9);
+    return promptSeconds <= toSeconds(options_.firstTokenTarget) * options_.promptPart
+        && tokenSeconds <= toSeconds(options_.betweenTokensTarget);
+}
+
+std::optional<RoleChange> FleetPlan::returnToMixed(const std::vector<EngineView> &engines, TimePoint now, std::string &reason) const
+{
+    const double prefill = shortPrefill_.perSecond();
+    const double decode = shortDecode_.perSecond();
+    const EngineView *best = nullptr;
+    for (const EngineView &engine : engines) {
+        if (engine.role == EndpointRole::Mixed || !mayChange(engine, engines, EndpointRole::Mixed, now)) {
+            continue;
+        }
+        auto after = countRoles(engines);
+        --after[engine.role];
+        ++after[EndpointRole::Mixed];
+        const bool notNeeded = useOf(after, prefill, decode) <= options_.comfortableUse / 2 && useOf(after, prefill, decode) > 0.05;
+        const bool candidate = !meetsTargets(engine.role) || notNeeded;
+        if (candidate && (best == nullptr || engine.backlogSeconds < best->backlogSeconds)) {
+            best = &engine;
         }
-        const auto serve = [&](EndpointRole role, double &work, bool isPrefill) {
-            const RoleSpeeds speeds = speedsOf(role);
-            const double speed = isPrefill ? speeds.prefillTokensPerSecond : speeds.decodeTokensPerSecond;
-            const double done = std::min(work, time[role] * speed);
-            work -= done;
-            time[role] -= done / speed;
-        };
-        serve(EndpointRole::Prefill, prefill, true);
-        serve(EndpointRole::Decode, decode, false);
-        serve(EndpointRole::Mixed, prefill, true);
-        serve(EndpointRole::Mixed, decode, false);
-        serve(EndpointRole::Decode, prefill, true);
-        serve(EndpointRole::Prefill, decode, false);
-        return prefill < 1e-9 && decode < 1e-9;
-    };
-    constexpr double MaxUse = 1000;
-    constexpr int Halvings = 40;
-    double low = 0;
-    double high = MaxUse;
-    for (int i = 0; i < Halvings; ++i) {
-        const double middle = (low + high) / 2;
-        (fits(middle) ? high : low) = middle;
     }
-    return high;
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    reason += ": " + best->name + " returns to mixed, since its role misses the targets with this mix or is not needed";
+    return RoleChange{best->name, best->role, EndpointRole::Mixed};
 }
 
 bool FleetPlan::mayChange(const EngineView &engine, const std::vector<EngineView> &engines, EndpointRole to, TimePoint now) const
@@ -166,14 +183,17 @@
     const double use = useOf(roles, prefill, decode);
     reason = absl::StrFormat("prefill %.0f/s, decode %.0f/s, use %.2f", prefill, decode, use);
     const auto changing = std::count_if(engines.begin(), engines.end(), [](const EngineView &engine) { return engine.changing; });
-    if (use <= options_.comfortableUse) {
-        reason += ": routing absorbs the mix";
-        return std::nullopt;
-    }
     if (static_cast<std::size_t>(changing) >= options_.maxConcurrentChanges) {
         reason += ": another change is under way";
         return std::nullopt;
     }
+    if (const auto change = returnToMixed(engines, now, reason)) {
+        return change;
+    }
+    if (use <= options_.comfortableUse) {
+        reason += ": routing absorbs the mix";
+        return std::nullopt;
+    }
     std::optional<RoleChange> best;
     double bestSaving = 0;
     const EngineView *bestEngine = nullptr;
@@ -181,7 +201,7 @@
     const double cost = toSeconds(options_.roleChangeTime);
     for (const EngineView &engine : engines) {
         for (const EndpointRole to : EngineRoles) {
-            if (!mayChange(engine, engines, to, now)) {
+            if (!mayChange(engine, engines, to, now) || !meetsTargets(to)) {
                 continue;
             }
             auto after = roles;
@@ -192,7 +212,7 @@
             const bool better = saving > bestSaving + 1e-6
                 || (bestEngine != nullptr && saving > bestSaving - 1e-6 && engine.cachedBlocks < bestEngine->cachedBlocks);
             if (saving > 0 && better) {
-                best = RoleChange {engine.name, engine.role, to};
+                best = RoleChange{engine.name, engine.role, to};
                 bestSaving = saving;
                 bestEngine = &engine;
             }
--- a/src/libfleet/fleetplan.h
+++ b/src/libfleet/fleetplan.h
@@ -23,6 +23,8 @@
     double prefillTokensPerSecond = 0;
     /** Of the whole engine, all slots together. */
     double decodeTokensPerSecond = 0;
+    /** Of one answer. */
+    double answerTokensPerSecond = 0;
 };
 
 struct EngineView
@@ -43,7 +45,7 @@
 struct FleetPlanOptions
 {
     /** Speeds of a mixed engine; the other roles follow from the factors. */
-    RoleSpeeds mixed {8000, 640};
+    RoleSpeeds mixed{8000, 640, 40};
     /** A tuned engine does its own kind of work this much faster, the other kind slower by the second factor. */
     double tunedGain = 1.5;
     double tunedLoss = 0.5;
@@ -53,9 +55,14 @@
     /** Time that an engine keeps a role at least. */
     Duration dwell = std::chrono::seconds(60);
     /** Use above which a change is worth considering. */
-    double comfortableUse = 0.8;
+    double comfortableUse = 1.0;
+    /** An engine gets no role in which a usual prompt alone takes more than this part of the first token's target. */
+    Duration firstTokenTarget = std::chrono::milliseconds(420);
+    double promptPart = 0.5;
+    /** Nor one in which a token takes longer than this. */
+    Duration betweenTokensTarget = std::chrono::milliseconds(46);
     std::size_t maxConcurrentChanges = 1;
-    Duration shortAverage = std::chrono::seconds(5);
+    Duration shortAverage = std::chrono::seconds(20);
     Duration longAverage = std::chrono::minutes(10);
     /** Endpoints are counted for the long average of use divided by this. */
     double targetUse = 0.7;
@@ -101,8 +108,8 @@
 public:
     explicit FleetPlan(FleetPlanOptions options);
 
-    /** Tokens that arrived for the model since the last call. */
-    void addDemand(double promptTokens, double outputTokens, Duration over);
+    /** Tokens that were worked on for the model since the last call; cached parts of prompts take no work. */
+    void addDemand(double promptTokens, double outputTokens, double requests, Duration over);
     PlanDecision decide(const std::vector<EngineView> &engines, TimePoint now);
     /** A change was ordered; starts the engine's dwell time. */
     void ordered(const RoleChange &change, TimePoint now);
@@ -114,6 +121,10 @@
 
 private:
     RoleSpeeds speedsOf(EndpointRole role) const;
+    /** An engine of that role answers a usual request within the targets. */
+    bool meetsTargets(EndpointRole role) const;
+    /** An engine whose role no longer fits or is no longer needed. */
+    std::optional<RoleChange> returnToMixed(const std::vector<EngineView> &engines, TimePoint now, std::string &reason) const;
     void learnSpeeds(const std::vector<EngineView> &engines);
     bool mayChange(const EngineView &engine, const std::vector<EngineView> &engines, EndpointRole to, TimePoint now) const;
     std::optional<RoleChange> bestChange(const std::vector<EngineView> &engines, TimePoint now, std::string &reason) const;
@@ -122,6 +133,7 @@
     FleetPlanOptions options_;
     SmoothedRate shortPrefill_;
     SmoothedRate shortDecode_;
+    SmoothedRate shortRequests_;
     SmoothedRate longPrefill_;
     SmoothedRate longDecode_;
     std::map<std::string, TimePoint> changedAt_;
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -207,7 +207,7 @@
     {
         const char *contentType = nullptr;
         curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_TYPE, &contentType);
-        HttpResult result {std::move(status), code, contentType == nullptr ? "" : contentType, std::move(transfer.body)};
+        HttpResult result{std::move(status), code, contentType == nullptr ? "" : contentType, std::move(transfer.body)};
         asio::post(transfer.executor,
                    [handler = std::move(transfer.onDone), result = std::move(result)]() mutable { handler(std::move(result)); });
     }
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -23,9 +23,9 @@
     std::string url;
     HttpHeaders headers;
     std::string body;
-    std::chrono::milliseconds timeout {5000};
+    std::chrono::milliseconds timeout{5000};
     /** Ends the call when nothing arrived for this long; 0 for never. */
-    std::chrono::milliseconds silenceTimeout {0};
+    std::chrono::milliseconds silenceTimeout{0};
     /** Open a new connection: one that is open may have gone silent for good. */
     bool freshConnection = false;
     /** The call must reach the other side at most once. libcurl repeats a call by itself when a connection that it used before closes
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -45,7 +45,7 @@
 
 restinio::http_status_line_t statusLine(int status)
 {
-    const auto code = restinio::http_status_code_t {static_cast<std::uint16_t>(status)};
+    const auto code = restinio::http_status_code_t{static_cast<std::uint16_t>(status)};
     std::string reason = "Status";
     switch (status) {
     case 200:
@@ -201,13 +201,13 @@
 
     absl::Status start()
     {
-        auto settings = restinio::server_settings_t<ServerTraits> {};
+        auto settings = restinio::server_settings_t<ServerTraits>{};
         settings.address(options_.address)
             .port(options_.port)
             .read_next_http_message_timelimit(options_.readTimeout)
             .handle_request_timeout(std::chrono::hours(1))
             .write_http_response_timelimit(std::chrono::seconds(30))
-            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t {}
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                           .max_body_size(options_.maxBodyBytes)
                                           .max_field_value_size(MaxFieldBytes)
                                           .max_url_size(MaxUrlBytes)
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -45,7 +45,7 @@
     /** Connections that send a larger body are closed; the handler should refuse well below it. */
     std::size_t maxBodyBytes = 16U << 20U;
     /** How long a client may take to send one request. */
-    std::chrono::milliseconds readTimeout {15000};
+    std::chrono::milliseconds readTimeout{15000};
 };
 
 class HttpServer
--- a/src/liblimits/customerlimiter.cpp
+++ b/src/liblimits/customerlimiter.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** A holder that had nothing is not asked again before this time. */
-constexpr Milliseconds EmptyHolderPause {20};
+constexpr Milliseconds EmptyHolderPause{20};
 constexpr double DemandTimeConstant = 1.0;
 /** Lots with less than this part of their life left go back to their holder. */
 constexpr double ReturnPart = 0.3;
@@ -34,7 +34,7 @@
 void CustomerLimiter::setShares(ShareAssignment shares, TimePoint now)
 {
     if (shares.others != shares_.others) {
-        news_.assign(shares.others.size(), HolderNews {});
+        news_.assign(shares.others.size(), HolderNews{});
         ask_.reset();
     }
     shares_ = std::move(shares);
@@ -57,7 +57,7 @@
     noteDemand(request.promptTokens + request.expectedOutputTokens, now);
     const auto place = std::find_if(
         waiting_.begin(), waiting_.end(), [&request](const Waiting &other) { return other.request.serviceClass > request.serviceClass; });
-    waiting_.insert(place, Waiting {request, now});
+    waiting_.insert(place, Waiting{request, now});
 }
 
 void CustomerLimiter::withdraw(std::uint64_t id)
@@ -118,8 +118,8 @@
     }
     const Ask ask = *ask_;
     ask_.reset();
-    news_[ask.holder] = HolderNews {holderLevel, now};
-    wallet_.add(TokenLot {amount, ask.sentAt + options_.grantLifetime, shares_.others[ask.holder], number}, now);
+    news_[ask.holder] = HolderNews{holderLevel, now};
+    wallet_.add(TokenLot{amount, ask.sentAt + options_.grantLifetime, shares_.others[ask.holder], number}, now);
 }
 
 double CustomerLimiter::grantTo(const GrantId &id, double amount, TimePoint now)
@@ -273,7 +273,7 @@
 void CustomerLimiter::askForTokens(TimePoint now, LimiterActions &actions)
 {
     if (ask_ && now - ask_->sentAt > options_.askTimeout) {
-        news_[ask_->holder] = HolderNews {0, now};
+        news_[ask_->holder] = HolderNews{0, now};
         ask_.reset();
     }
     if (ask_ || shares_.others.empty()) {
@@ -297,7 +297,7 @@
     if (!holder) {
         return;
     }
-    ask_ = Ask {++lastAsk_, *holder, now};
+    ask_ = Ask{++lastAsk_, *holder, now};
     actions.asks.push_back({shares_.others[*holder], lastAsk_, std::ceil(missing)});
 }
 
@@ -328,7 +328,7 @@
 
 void CustomerLimiter::noteDemand(double tokens, TimePoint now)
 {
-    const double seconds = demandAt_ == TimePoint {} ? DemandTimeConstant : toSeconds(now - demandAt_);
+    const double seconds = demandAt_ == TimePoint{} ? DemandTimeConstant : toSeconds(now - demandAt_);
     demand_ = demand_ * std::exp(-seconds / DemandTimeConstant) + tokens / DemandTimeConstant;
     demandAt_ = now;
 }
--- a/src/liblimits/customerlimiter.h
+++ b/src/liblimits/customerlimiter.h
@@ -55,7 +55,7 @@
 {
     std::uint64_t id = 0;
     AdmissionVerdict verdict = AdmissionVerdict::Admitted;
-    Duration retryAfter {};
+    Duration retryAfter{};
 };
 
 /** More output tokens that a running answer may send. */
--- a/src/libmembership/membershipkeeper.cpp
+++ b/src/libmembership/membershipkeeper.cpp
@@ -34,7 +34,7 @@
 
 void MembershipKeeper::heard(const GatewayIdentity &identity, const std::vector<std::string> &suspects, TimePoint now)
 {
-    heard_[identity.name] = Heard {identity.incarnation, now, suspects};
+    heard_[identity.name] = Heard{identity.incarnation, now, suspects};
 }
 
 void MembershipKeeper::setVms(const std::map<std::string, VmState> &vms)
--- a/src/libmembership/membershiprow.cpp
+++ b/src/libmembership/membershiprow.cpp
@@ -71,7 +71,7 @@
                                {"lastEpoch", member.lastEpoch},
                                {"electors", member.electors}});
     }
-    return nlohmann::json {{"epoch", epoch}, {"members", std::move(memberList)}, {"retired", std::move(retiredList)}, {"attempt", attempt}}
+    return nlohmann::json{{"epoch", epoch}, {"members", std::move(memberList)}, {"retired", std::move(retiredList)}, {"attempt", attempt}}
         .dump();
 }
 
--- a/src/libmembership/sharegate.cpp
+++ b/src/libmembership/sharegate.cpp
@@ -19,14 +19,14 @@
     // Processes that left between two rows that we saw, without the newer row saying so, have retired too.
     for (const GatewayMember &member : row_.members) {
         if (!row.contains(member.identity)) {
-            retired_.try_emplace(member.identity, Retired {RetiredMember {member.identity, row_.epoch, row_.electors()}});
+            retired_.try_emplace(member.identity, Retired{RetiredMember{member.identity, row_.epoch, row_.electors()}});
         }
     }
     for (const RetiredMember &member : row.retired) {
         if (stopped_.contains(member.identity)) {
             continue;
         }
-        const auto [it, inserted] = retired_.try_emplace(member.identity, Retired {member});
+        const auto [it, inserted] = retired_.try_emplace(member.identity, Retired{member});
         it->second.member = member;
     }
     row_ = row;
--- a/src/libmembership/storeproof.cpp
+++ b/src/libmembership/storeproof.cpp
@@ -52,7 +52,7 @@
 
 void StoreProof::peerReported(const PeerReport &report)
 {
-    vouches_[report.name] = Vouch {report.askedAt, report.membershipEpoch, report.catalogueVersion, report.storeDown};
+    vouches_[report.name] = Vouch{report.askedAt, report.membershipEpoch, report.catalogueVersion, report.storeDown};
     if (report.hasProof) {
         consider(report.askedAt - report.proofAge, report.proof);
     }
@@ -65,7 +65,7 @@
 
 TimePoint StoreProof::keysValidUntil(TimePoint now) const
 {
-    TimePoint until {};
+    TimePoint until{};
     if (hasProof_ && catalogueVersion_ >= proofHeads_.catalogueVersion) {
         until = proofTime_ + lifetime_;
     }
@@ -80,7 +80,7 @@
     if (membership_.find(ownName_) == nullptr) {
         return {};
     }
-    TimePoint until {};
+    TimePoint until{};
     if (hasProof_ && proofHeads_.membershipEpoch == membership_.epoch) {
         until = proofTime_ + lifetime_;
     }
--- a/src/libmembership/storeproof.h
+++ b/src/libmembership/storeproof.h
@@ -35,7 +35,7 @@
     std::uint64_t catalogueVersion = 0;
     bool storeDown = false;
     bool hasProof = false;
-    Duration proofAge {};
+    Duration proofAge{};
     StoreHeads proof;
 };
 
--- a/src/libplatform/httptable.cpp
+++ b/src/libplatform/httptable.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint32_t OpenAfterFailures = 3;
-constexpr std::chrono::milliseconds ProbeInterval {500};
+constexpr std::chrono::milliseconds ProbeInterval{500};
 constexpr int CodeOk = 200;
 constexpr int CodeConflict = 409;
 
@@ -25,7 +25,7 @@
         if (!row.is_object() || !row.contains("key") || !row.contains("value") || !row.contains("version")) {
             return absl::DataLossError("the table service answered with an incomplete row");
         }
-        rows[row["key"].get<std::string>()] = TableRow {row["value"].get<std::string>(), row["version"].get<std::uint64_t>()};
+        rows[row["key"].get<std::string>()] = TableRow{row["value"].get<std::string>(), row["version"].get<std::uint64_t>()};
     }
     return rows;
 }
@@ -40,7 +40,7 @@
     for (const auto &put : transaction.puts) {
         puts.push_back({{"key", put.key}, {"value", put.value ? nlohmann::json(*put.value) : nlohmann::json()}});
     }
-    return nlohmann::json {{"conditions", std::move(conditions)}, {"puts", std::move(puts)}}.dump();
+    return nlohmann::json{{"conditions", std::move(conditions)}, {"puts", std::move(puts)}}.dump();
 }
 
 HttpCall postCall(const std::string &url, std::string body, std::chrono::milliseconds timeout, bool fresh)
@@ -66,12 +66,12 @@
 
 void HttpTable::get(std::vector<std::string> keys, GetHandler onRows)
 {
-    read("/v1/table/get", nlohmann::json {{"keys", std::move(keys)}}.dump(), std::move(onRows), false);
+    read("/v1/table/get", nlohmann::json{{"keys", std::move(keys)}}.dump(), std::move(onRows), false);
 }
 
 void HttpTable::list(const std::string &prefix, GetHandler onRows)
 {
-    read("/v1/table/list", nlohmann::json {{"prefix", prefix}}.dump(), std::move(onRows), false);
+    read("/v1/table/list", nlohmann::json{{"prefix", prefix}}.dump(), std::move(onRows), false);
 }
 
 void HttpTable::read(const std::string &path, const std::string &body, GetHandler onRows, bool repeated)
--- a/src/libplatform/httptable.h
+++ b/src/libplatform/httptable.h
@@ -17,7 +17,7 @@
 {
     /** Base URL, without a slash at its end. */
     std::string url;
-    std::chrono::milliseconds timeout {1000};
+    std::chrono::milliseconds timeout{1000};
 };
 
 class HttpTable
--- a/src/libplatform/tablewriter.h
+++ b/src/libplatform/tablewriter.h
@@ -37,13 +37,13 @@
 
     void write(TableWrite write, CommitHandler onOutcome)
     {
-        auto state = std::make_shared<State>(State {std::move(write), std::move(onOutcome), asio::steady_timer(executor_), {}, false});
+        auto state = std::make_shared<State>(State{std::move(write), std::move(onOutcome), asio::steady_timer(executor_), {}, false});
         state->deadline = std::chrono::steady_clock::now() + giveUpAfter_;
         send(state);
     }
 
 private:
-    static constexpr std::chrono::milliseconds RetryDelay {100};
+    static constexpr std::chrono::milliseconds RetryDelay{100};
 
     struct State
     {
@@ -73,7 +73,7 @@
 
     void readBack(const StatePointer &state)
     {
-        std::vector<std::string> keys {state->write.witnessKey};
+        std::vector<std::string> keys{state->write.witnessKey};
         for (const auto &condition : state->write.transaction.conditions) {
             keys.push_back(condition.key);
         }
--- a/src/librouting/router.cpp
+++ b/src/librouting/router.cpp
@@ -16,7 +16,7 @@
 struct Candidate
 {
     const Router::Endpoint *endpoint = nullptr;
-    Duration predicted {};
+    Duration predicted{};
     std::size_t cachedBlocks = 0;
 };
 
@@ -40,6 +40,7 @@
     }
     const auto [it, inserted] = endpoints_.try_emplace(entry.name);
     it->second.entry = entry;
+    it->second.nameHash = rendezvousHash(entry.name);
     if (inserted) {
         byServes_[entry.serves].push_back(&it->second);
     }
@@ -154,6 +155,7 @@
         return std::nullopt;
     }
     const std::string key = affinityKey(query);
+    const std::uint64_t keyHash = rendezvousHash(key);
     Candidate best;
     Candidate affine;
     std::uint64_t affineScore = 0;
@@ -162,14 +164,14 @@
             continue;
         }
         const std::size_t cached = cachedBlocks(*endpoint, query.blocks);
-        const Candidate candidate {endpoint, predict(*endpoint, query, cached), cached};
+        const Candidate candidate{endpoint, predict(*endpoint, query, cached), cached};
         if (best.endpoint == nullptr || candidate.predicted < best.predicted) {
             best = candidate;
         }
         if (key.empty()) {
             continue;
         }
-        const std::uint64_t score = rendezvousScore(key, endpoint->entry.name);
+        const std::uint64_t score = rendezvousScore(keyHash, endpoint->nameHash);
         if (affine.endpoint == nullptr || score > affineScore) {
             affine = candidate;
             affineScore = score;
@@ -181,12 +183,12 @@
     const auto bound = std::chrono::duration_cast<Duration>(best.predicted * options_.affinityFactor) + options_.affinitySlack;
     const bool firstSight = best.cachedBlocks == 0 && affine.endpoint != nullptr;
     if (firstSight && affine.endpoint != best.endpoint && affine.predicted <= bound) {
-        return RouteChoice {affine.endpoint->entry.name, affine.predicted, affine.cachedBlocks, "prefix affinity within the load bound"};
+        return RouteChoice{affine.endpoint->entry.name, affine.predicted, affine.cachedBlocks, "prefix affinity within the load bound"};
     }
-    return RouteChoice {best.endpoint->entry.name,
-                        best.predicted,
-                        best.cachedBlocks,
-                        best.cachedBlocks > 0 ? "shortest predicted time, prefix cached" : "shortest predicted time"};
+    return RouteChoice{best.endpoint->entry.name,
+                       best.predicted,
+                       best.cachedBlocks,
+                       best.cachedBlocks > 0 ? "shortest predicted time, prefix cached" : "shortest predicted time"};
 }
 
 std::uint64_t Router::dispatched(const std::string &name, const RouteQuery &query, TimePoint now)
@@ -232,7 +234,7 @@
     if (group == byServes_.end()) {
         return 0;
     }
-    const RouteQuery query {serves, 0, 0, {}, {}};
+    const RouteQuery query{serves, 0, 0, {}, {}};
     return static_cast<std::size_t>(std::count_if(
         group->second.begin(), group->second.end(), [&](const Endpoint *endpoint) { return isCandidate(*endpoint, query, now); }));
 }
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -33,6 +33,7 @@
     /** Served since the sidecar's start. */
     double promptTokensTotal = 0;
     double outputTokensTotal = 0;
+    double requestsTotal = 0;
 };
 
 struct RouterOptions
@@ -64,7 +65,7 @@
 struct RouteChoice
 {
     std::string endpoint;
-    Duration predicted {};
+    Duration predicted{};
     std::size_t cachedBlocks = 0;
     /** Why, for the log and for "explain". */
     std::string reason;
@@ -95,6 +96,7 @@
     struct Endpoint
     {
         EndpointEntry entry;
+        std::uint64_t nameHash = 0;
         EndpointLoad load;
         bool reported = false;
         TimePoint reportedAt;
--- a/src/libtransport/link.cpp
+++ b/src/libtransport/link.cpp
@@ -120,17 +120,17 @@
 
 absl::StatusOr<LinkKeys> generateLinkKeys()
 {
-    std::array<char, KeyLength + 1> publicKey {};
-    std::array<char, KeyLength + 1> secretKey {};
+    std::array<char, KeyLength + 1> publicKey{};
+    std::array<char, KeyLength + 1> secretKey{};
     if (zmq_curve_keypair(publicKey.data(), secretKey.data()) != 0) {
         return absl::UnimplementedError("ZeroMQ was built without CURVE");
     }
-    return LinkKeys {publicKey.data(), secretKey.data()};
+    return LinkKeys{publicKey.data(), secretKey.data()};
 }
 
 absl::Status checkLinkKey(const std::string &key)
 {
-    std::array<std::uint8_t, RawKeyLength> raw {};
+    std::array<std::uint8_t, RawKeyLength> raw{};
     if (key.size() != KeyLength || zmq_z85_decode(raw.data(), key.c_str()) == nullptr) {
         return absl::InvalidArgumentError("must be a Z85 key of 40 characters");
     }
@@ -146,7 +146,7 @@
         , zap_(zmq_, zmq::socket_type::rep)
     {
         for (const std::string &key : allowedClients) {
-            std::array<std::uint8_t, RawKeyLength> raw {};
+            std::array<std::uint8_t, RawKeyLength> raw{};
             zmq_z85_decode(raw.data(), key.c_str());
             allowed_.emplace(reinterpret_cast<const char *>(raw.data()), raw.size());
         }
@@ -190,7 +190,7 @@
         } while (frame.more());
         constexpr std::size_t KeyFrame = 6;
         const bool known = frames.size() > KeyFrame && frames[5] == "CURVE" && allowed_.contains(frames[KeyFrame]);
-        const std::array<std::string, 6> reply {"1.0", frames.size() > 1 ? frames[1] : "", known ? "200" : "400", "", "", ""};
+        const std::array<std::string, 6> reply{"1.0", frames.size() > 1 ? frames[1] : "", known ? "200" : "400", "", "", ""};
         for (std::size_t i = 0; i < reply.size(); ++i) {
             zap_.send(zmq::buffer(reply[i]), i + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
         }
--- a/src/libusage/usageledger.cpp
+++ b/src/libusage/usageledger.cpp
@@ -29,7 +29,7 @@
         customers[customer]
             = {{"requests", figures.requests}, {"promptTokens", figures.promptTokens}, {"outputTokens", figures.outputTokens}};
     }
-    return nlohmann::json {{"customers", std::move(customers)}, {"attempt", attempt}}.dump();
+    return nlohmann::json{{"customers", std::move(customers)}, {"attempt", attempt}}.dump();
 }
 
 absl::StatusOr<CustomerUsage> usageFromText(const std::string &text)
@@ -43,9 +43,9 @@
         if (!figures.is_object()) {
             return absl::DataLossError("unreadable usage row of customer " + customer);
         }
-        usage[customer] = {figures.value("requests", std::uint64_t {0}),
-                           figures.value("promptTokens", std::uint64_t {0}),
-                           figures.value("outputTokens", std::uint64_t {0})};
+        usage[customer] = {figures.value("requests", std::uint64_t{0}),
+                           figures.value("promptTokens", std::uint64_t{0}),
+                           figures.value("outputTokens", std::uint64_t{0})};
     }
     return usage;
 }
@@ -63,7 +63,7 @@
     }
     for (const auto &[number, window] : windows_) {
         if (window.figures != window.stored) {
-            pending_ = UsageFlush {number, window.figures};
+            pending_ = UsageFlush{number, window.figures};
             return pending_;
         }
     }
@@ -89,10 +89,10 @@
     CustomerUsage late;
     for (const auto &[customer, figures] : window.figures) {
         const auto it = stored.find(customer);
-        const UsageFigures before = it == stored.end() ? UsageFigures {} : it->second;
-        const UsageFigures rest {
+        const UsageFigures before = it == stored.end() ? UsageFigures{} : it->second;
+        const UsageFigures rest{
             figures.requests - before.requests, figures.promptTokens - before.promptTokens, figures.outputTokens - before.outputTokens};
-        if (rest != UsageFigures {}) {
+        if (rest != UsageFigures{}) {
             late[customer] = rest;
         }
     }
@@ -121,8 +121,8 @@
     for (const auto &[number, window] : windows_) {
         for (const auto &[customer, figures] : window.figures) {
             const auto stored = window.stored.find(customer);
-            const UsageFigures before = stored == window.stored.end() ? UsageFigures {} : stored->second;
-            result[customer] += UsageFigures {
+            const UsageFigures before = stored == window.stored.end() ? UsageFigures{} : stored->second;
+            result[customer] += UsageFigures{
                 figures.requests - before.requests, figures.promptTokens - before.promptTokens, figures.outputTokens - before.outputTokens};
         }
     }
--- a/tests/authority/leasekeeper_test.cpp
+++ b/tests/authority/leasekeeper_test.cpp
@@ -57,11 +57,11 @@
         if (process.write && !process.applied) {
             stray_.push_back(*process.write);
         }
-        process = Process {std::make_unique<LeaseKeeper>("entry-" + std::to_string(index), ++lastIncarnation_, options),
-                           std::nullopt,
-                           {},
-                           false,
-                           lastIncarnation_};
+        process = Process{std::make_unique<LeaseKeeper>("entry-" + std::to_string(index), ++lastIncarnation_, options),
+                          std::nullopt,
+                          {},
+                          false,
+                          lastIncarnation_};
     }
 
     void advance(Duration duration)
@@ -154,7 +154,7 @@
     }
 
     Fault fault_;
-    TimePoint now_ {1h};
+    TimePoint now_{1h};
     LeaseRow row_;
     std::uint64_t version_ = 0;
     Process processes_[2];
@@ -251,9 +251,9 @@
 TEST(LeaseKeeper, HolderDies_SuccessorTakesItAfterTheDuration)
 {
     LeaseOptions options;
-    const TimePoint start {1h};
+    const TimePoint start{1h};
     LeaseKeeper successor("b", 2, options);
-    successor.observed(LeaseRow {"a", 1, 7, 3}, 9, start);
+    successor.observed(LeaseRow{"a", 1, 7, 3}, 9, start);
     EXPECT_FALSE(successor.poll(start + options.duration - 1ms).has_value());
     const auto write = successor.poll(start + options.duration);
     ASSERT_TRUE(write.has_value());
@@ -267,8 +267,8 @@
 TEST(LeaseKeeper, Released_SuccessorTakesItAtOnce)
 {
     LeaseKeeper successor("b", 2, {});
-    successor.observed(LeaseRow {"", 0, 7, 3}, 9, TimePoint {1h});
-    EXPECT_TRUE(successor.poll(TimePoint {1h}).has_value());
+    successor.observed(LeaseRow{"", 0, 7, 3}, 9, TimePoint{1h});
+    EXPECT_TRUE(successor.poll(TimePoint{1h}).has_value());
 }
 
 }
--- a/tests/authority/ordergate_test.cpp
+++ b/tests/authority/ordergate_test.cpp
@@ -123,7 +123,7 @@
 
 private:
     Fault fault_;
-    TimePoint now_ {1h};
+    TimePoint now_{1h};
     std::unique_ptr<TickClock> clock_;
     std::unique_ptr<OrderGate> gate_;
     std::uint64_t incarnation_ = 0;
--- a/tests/catalogue/catalogue_test.cpp
+++ b/tests/catalogue/catalogue_test.cpp
@@ -13,9 +13,9 @@
 
 CatalogueChange customerChange(std::uint64_t version, const std::string &name, std::optional<double> rate)
 {
-    CatalogueChange change {version, EntryKind::Customer, name, std::nullopt, "attempt"};
+    CatalogueChange change{version, EntryKind::Customer, name, std::nullopt, "attempt"};
     if (rate) {
-        change.entry = CustomerEntry {name, *rate, 10, 1};
+        change.entry = CustomerEntry{name, *rate, 10, 1};
     }
     return change;
 }
--- a/tests/delivery/delivery_test.cpp
+++ b/tests/delivery/delivery_test.cpp
@@ -167,7 +167,7 @@
     {
         const std::size_t index = ++attempts_ % Sidecars;
         attemptSidecar_ = index;
-        const RequestId id {1, attempts_};
+        const RequestId id{1, attempts_};
         chunks_.clear();
         flow_.attempt(id, std::to_string(index), clocks_[index]->incarnation(), 500ms, now_);
         attemptTick_ = clocks_[index]->issue(now_);
@@ -193,7 +193,7 @@
             break;
         case FlowAction::Finish:
             done_ = true;
-            violated_ = violated_ || chunks_ != std::vector<std::uint64_t> {0, 1, 2};
+            violated_ = violated_ || chunks_ != std::vector<std::uint64_t>{0, 1, 2};
             break;
         case FlowAction::Fail:
             done_ = true;
@@ -279,7 +279,7 @@
     }
 
     Fault fault_;
-    TimePoint now_ {1h};
+    TimePoint now_{1h};
     RequestFlow flow_;
     std::unique_ptr<TickClock> clocks_[Sidecars];
     std::unique_ptr<Dispatcher> dispatchers_[Sidecars];
--- a/tests/delivery/fairqueue_test.cpp
+++ b/tests/delivery/fairqueue_test.cpp
@@ -21,7 +21,7 @@
 protected:
     void push(const std::string &customer, ServiceClass serviceClass, double tokens, double weight = 1)
     {
-        queue_.push({++handle_, customer, serviceClass, weight, tokens, tokens / 100, TimePoint {1h}, TimePoint {2h}});
+        queue_.push({++handle_, customer, serviceClass, weight, tokens, tokens / 100, TimePoint{1h}, TimePoint{2h}});
     }
 
     FairQueue queue_;
@@ -92,7 +92,7 @@
     std::map<std::string, double> waiting;
     for (const auto &[customer, size] : sizes) {
         const std::string name(1, static_cast<char>('a' + customer));
-        queue.push({++handle, name, ServiceClass::Standard, 1, static_cast<double>(size), 0, TimePoint {1h}, TimePoint {2h}});
+        queue.push({++handle, name, ServiceClass::Standard, 1, static_cast<double>(size), 0, TimePoint{1h}, TimePoint{2h}});
         waiting[name] += size;
     }
     std::map<std::string, double> served;
@@ -126,9 +126,9 @@
         return result;
     }
 
-    TimePoint now_ {1h};
-    TickClock clock_ {7, 300ms};
-    Dispatcher dispatcher_ {{1, 4, 1000, 100}, clock_};
+    TimePoint now_{1h};
+    TickClock clock_{7, 300ms};
+    Dispatcher dispatcher_{{1, 4, 1000, 100}, clock_};
     std::uint64_t number_ = 0;
 };
 
--- a/tests/limits/fleetlimit_test.cpp
+++ b/tests/limits/fleetlimit_test.cpp
@@ -92,7 +92,7 @@
 struct Node
 {
     Node(std::size_t index, std::uint64_t incarnation, TimePoint now)
-        : self {{"entry-" + std::to_string(index), incarnation}, "", "dc"}
+        : self{{"entry-" + std::to_string(index), incarnation}, "", "dc"}
         , keeper(self, {300ms, 300ms, 3s}, now)
         , gate(self.identity, Proof + 40ms, GrantLifetime + 20ms)
         , proof(self.identity.name, Proof, 100ms)
@@ -307,7 +307,7 @@
         Node &target = *nodes_[to];
         target.keeper.heard(source.self.identity, source.keeper.suspects(now_), now_);
         target.gate.acknowledged(source.self.identity, source.gate.membership().epoch, now_);
-        PeerReport report {source.self.identity.name, source.self.identity.incarnation, now_, source.gate.membership().epoch, 0};
+        PeerReport report{source.self.identity.name, source.self.identity.incarnation, now_, source.gate.membership().epoch, 0};
         report.storeDown = source.proof.isStoreDown(now_);
         report.hasProof = source.proof.hasProof();
         report.proofAge = now_ - source.proof.proofTime();
@@ -410,7 +410,7 @@
     }
 
     Fault fault_;
-    TimePoint now_ {1h};
+    TimePoint now_{1h};
     Store store_;
     std::unique_ptr<Node> nodes_[Gateways];
     bool cut_[Gateways][Gateways] = {};
--- a/tests/limits/shareholder_test.cpp
+++ b/tests/limits/shareholder_test.cpp
@@ -20,8 +20,8 @@
         holder_.setLimits(100, 50, start_);
     }
 
-    TimePoint start_ {1h};
-    ShareHolder holder_ {500ms};
+    TimePoint start_{1h};
+    ShareHolder holder_{500ms};
 };
 
 TEST_F(ShareHolderTest, NewShare_StartsEmpty)
@@ -70,7 +70,7 @@
 TEST(WalletTest, ExpiredLot_IsNotSpent)
 {
     Wallet wallet;
-    const TimePoint start {1h};
+    const TimePoint start{1h};
     wallet.add({10, start + 500ms, "a", 1}, start);
     EXPECT_DOUBLE_EQ(wallet.balance(start + 499ms), 10);
     EXPECT_TRUE(wallet.take(10, start + 500ms).empty());
--- a/tests/processes/processes_test.cpp
+++ b/tests/processes/processes_test.cpp
@@ -140,7 +140,7 @@
     EXPECT_EQ(post(std::string(200000, ' ')).code, 413);
     EXPECT_EQ(send({"POST", url, "", "{}"}).code, 401);
     EXPECT_EQ(send({"POST", url, "cc-nobody-nothing", "{}"}).code, 401);
-    TestCall doubled {"POST", url, fleet_.key, "{}"};
+    TestCall doubled{"POST", url, fleet_.key, "{}"};
     doubled.headers = {{"Authorization", "Bearer other"}};
     EXPECT_EQ(send(doubled).code, 400);
     EXPECT_EQ(send({"GET", fleet_.callerUrl("entry-1", "/nothing"), fleet_.key}).code, 404);
@@ -156,7 +156,7 @@
 {
     start(1, 1, false);
     const int connection = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
+    sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(fleet_.process("entry-1").port("callers"));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -172,9 +172,9 @@
 TEST_F(ProcessesTest, CallerLeavesInMidStream_EnginesSequenceIsCancelled)
 {
     start(1, 1, false, {"--decode", "20"});
-    const nlohmann::json body {
+    const nlohmann::json body{
         {"model", "chat"}, {"stream", true}, {"test_tokens", 1000}, {"messages", {{{"role", "user"}, {"content", "long"}}}}};
-    TestCall call {"POST", fleet_.callerUrl("entry-1", "/v1/chat/completions"), fleet_.key, body.dump()};
+    TestCall call{"POST", fleet_.callerUrl("entry-1", "/v1/chat/completions"), fleet_.key, body.dump()};
     call.timeoutMs = 500;
     EXPECT_EQ(send(call).code, 0);
     EXPECT_TRUE(eventually([this] { return fleet_.stateOf("chat-1")["cancelled"] == 1; }));
@@ -333,7 +333,7 @@
 TEST_F(ProcessesTest, LeaseHolderPausedThenKilled_AnotherTakesOverWithAHigherEpoch)
 {
     start(3, 1, false);
-    std::vector<std::string> gateways {"entry-1", "entry-2", "entry-3"};
+    std::vector<std::string> gateways{"entry-1", "entry-2", "entry-3"};
     std::string holder;
     ASSERT_TRUE(eventually([&] { return !(holder = leaseHolder("planner", gateways)).empty(); }));
     const auto epoch = dump(holder)["leases"]["planner"]["epoch"].get<std::uint64_t>();
@@ -353,15 +353,15 @@
 TEST_F(ProcessesTest, StoredPlanAndRestartedEngineAndNewHolder_OrdersAreGivenOnceWithRisingEpochs)
 {
     fleet_.startPlatform();
-    const std::string plan = nlohmann::json {{"roles", {{"chat-1", "decode"}}}, {"epoch", 0}}.dump();
-    const nlohmann::json write {{"puts", {{{"key", "plan/roles"}, {"value", plan}}}}};
+    const std::string plan = nlohmann::json{{"roles", {{"chat-1", "decode"}}}, {"epoch", 0}}.dump();
+    const nlohmann::json write{{"puts", {{{"key", "plan/roles"}, {"value", plan}}}}};
     const std::string platform = "http://127.0.0.1:" + std::to_string(fleet_.process("platform").port("port"));
     ASSERT_EQ(send({"POST", platform + "/v1/table/commit", "", write.dump()}).code, 200);
     for (const char *name : {"chat-1", "chat-2"}) {
         fleet_.startEngine(name, {"--checks-fencing", "false"});
         fleet_.startSidecar(name, true);
     }
-    std::vector<std::string> gateways {"entry-1", "entry-2", "entry-3"};
+    std::vector<std::string> gateways{"entry-1", "entry-2", "entry-3"};
     for (const std::string &gateway : gateways) {
         fleet_.startGateway(gateway);
     }
@@ -399,7 +399,7 @@
     std::vector<std::thread> operators;
     for (std::size_t i = 0; i < 2; ++i) {
         operators.emplace_back([&, i] {
-            const nlohmann::json body {{"document", {{"rate", 1000 + i}, {"burst", 5000}}}, {"expectedVersion", version}};
+            const nlohmann::json body{{"document", {{"rate", 1000 + i}, {"burst", 5000}}}, {"expectedVersion", version}};
             answers[i] = fleet_.callOperator("entry-" + std::to_string(i + 1), "PUT", "/operator/catalogue/customer/desk", body);
         });
     }
--- a/tests/processes/testprocess.cpp
+++ b/tests/processes/testprocess.cpp
@@ -38,7 +38,7 @@
 
 TestProcess::TestProcess(const std::vector<std::string> &command)
 {
-    std::array<int, 2> out {};
+    std::array<int, 2> out{};
     if (pipe2(out.data(), O_CLOEXEC) != 0) {
         throw std::runtime_error("no pipe");
     }
@@ -47,7 +47,7 @@
         arguments.push_back(const_cast<char *>(part.c_str())); // NOLINT
     }
     arguments.push_back(nullptr);
-    posix_spawn_file_actions_t actions {};
+    posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, out[1], STDOUT_FILENO);
     const bool verbose = std::getenv("CHESTNUTCOVE_TEST_LOG") != nullptr;
@@ -107,7 +107,7 @@
 
 std::uint16_t TestProcess::port(const std::string &name) const
 {
-    return ports_.is_object() ? ports_.value(name, std::uint16_t {0}) : 0;
+    return ports_.is_object() ? ports_.value(name, std::uint16_t{0}) : 0;
 }
 
 TestAnswer send(const TestCall &call)
@@ -171,19 +171,19 @@
 
 void Deployment::startPlatform()
 {
-    processes_["platform"] = std::make_unique<TestProcess>(std::vector<std::string> {STANDIN, "platform"});
+    processes_["platform"] = std::make_unique<TestProcess>(std::vector<std::string>{STANDIN, "platform"});
 }
 
 void Deployment::startEngine(const std::string &name, const std::vector<std::string> &options)
 {
-    std::vector<std::string> command {STANDIN, "engine"};
+    std::vector<std::string> command{STANDIN, "engine"};
     command.insert(command.end(), options.begin(), options.end());
     processes_[name] = std::make_unique<TestProcess>(command);
 }
 
 void Deployment::startService(const std::string &name, int delayMs)
 {
-    processes_[name] = std::make_unique<TestProcess>(std::vector<std::string> {STANDIN, "service", "--delay-ms", std::to_string(delayMs)});
+    processes_[name] = std::make_unique<TestProcess>(std::vector<std::string>{STANDIN, "service", "--delay-ms", std::to_string(delayMs)});
 }
 
 std::string Deployment::writeSettings(const std::string &name, const nlohmann::json &settings)
@@ -198,27 +198,27 @@
     // A sidecar that is started anew keeps its port, as one that a supervisor restarts does.
     const std::uint16_t port = has(name + "-sidecar") ? process(name + "-sidecar").port("link") : 0;
     end(name + "-sidecar");
-    const nlohmann::json settings {{"name", name},
-                                   {"dataCentre", "dc-1"},
-                                   {"link",
-                                    {{"listen", "127.0.0.1:" + std::to_string(port)},
-                                     {"publicKey", sidecarKeys_["publicKey"]},
-                                     {"secretKey", sidecarKeys_["secretKey"]},
-                                     {"gatewayKey", gatewayKeys_["publicKey"]}}},
-                                   {"endpoint",
-                                    {{"kind", engine ? "engine" : "plain"},
-                                     {"url", "http://127.0.0.1:" + std::to_string(process(name).port("port"))},
-                                     {"probeInterval", "50 ms"}}},
-                                   {"orderFreshness", "1 s"},
-                                   {"gatewayTimeout", "2 s"}};
+    const nlohmann::json settings{{"name", name},
+                                  {"dataCentre", "dc-1"},
+                                  {"link",
+                                   {{"listen", "127.0.0.1:" + std::to_string(port)},
+                                    {"publicKey", sidecarKeys_["publicKey"]},
+                                    {"secretKey", sidecarKeys_["secretKey"]},
+                                    {"gatewayKey", gatewayKeys_["publicKey"]}}},
+                                  {"endpoint",
+                                   {{"kind", engine ? "engine" : "plain"},
+                                    {"url", "http://127.0.0.1:" + std::to_string(process(name).port("port"))},
+                                    {"probeInterval", "50 ms"}}},
+                                  {"orderFreshness", "1 s"},
+                                  {"gatewayTimeout", "2 s"}};
     processes_[name + "-sidecar"]
-        = std::make_unique<TestProcess>(std::vector<std::string> {CHESTNUTCOVE, "sidecar", "--settings", writeSettings(name, settings)});
+        = std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "sidecar", "--settings", writeSettings(name, settings)});
 }
 
 void Deployment::startGateway(const std::string &name)
 {
     end(name);
-    const nlohmann::json settings {
+    const nlohmann::json settings{
         {"name", name},
         {"dataCentre", "dc-1"},
         {"callers", {{"listen", "127.0.0.1:0"}, {"maxBodyBytes", 100000}, {"readTimeout", "2 s"}}},
@@ -246,7 +246,7 @@
           {"planInterval", "200 ms"},
           {"drainNotice", "100 ms"}}}};
     processes_[name]
-        = std::make_unique<TestProcess>(std::vector<std::string> {CHESTNUTCOVE, "gateway", "--settings", writeSettings(name, settings)});
+        = std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--settings", writeSettings(name, settings)});
 }
 
 TestProcess &Deployment::process(const std::string &name)
@@ -289,10 +289,10 @@
         const std::string endpoint = name.substr(0, name.rfind('-'));
         const bool engine = endpoint.starts_with("chat");
         const std::string address = "127.0.0.1:" + std::to_string(started->port("link"));
-        const nlohmann::json document {{"dataCentre", "dc-1"},
-                                       {"sidecar", address},
-                                       {"serves", engine ? "chat" : endpoint.substr(0, endpoint.rfind('-'))},
-                                       {"role", engine ? "mixed" : "plain"}};
+        const nlohmann::json document{{"dataCentre", "dc-1"},
+                                      {"sidecar", address},
+                                      {"serves", engine ? "chat" : endpoint.substr(0, endpoint.rfind('-'))},
+                                      {"role", engine ? "mixed" : "plain"}};
         ASSERT_EQ(put("endpoint", endpoint, document).code, 200);
     }
     const TestAnswer granted = callOperator("entry-1", "POST", "/operator/keys", {{"customer", "desk"}});
@@ -319,16 +319,16 @@
 
 TestAnswer Deployment::chat(const std::string &gateway, const std::string &text, bool stream, int tokens)
 {
-    const nlohmann::json body {
+    const nlohmann::json body{
         {"model", "chat"}, {"stream", stream}, {"test_tokens", tokens}, {"messages", {{{"role", "user"}, {"content", text}}}}};
-    TestCall call {"POST", callerUrl(gateway, "/v1/chat/completions"), key, body.dump()};
+    TestCall call{"POST", callerUrl(gateway, "/v1/chat/completions"), key, body.dump()};
     call.timeoutMs = 30000;
     return send(call);
 }
 
 TestAnswer Deployment::order(const std::string &gateway, const std::string &body, const std::string &idempotencyKey)
 {
-    TestCall call {"POST", callerUrl(gateway, "/orders/new"), key, body};
+    TestCall call{"POST", callerUrl(gateway, "/orders/new"), key, body};
     if (!idempotencyKey.empty()) {
         call.headers.emplace_back("Idempotency-Key", idempotencyKey);
     }
--- a/tests/processes/testprocess.h
+++ b/tests/processes/testprocess.h
@@ -90,7 +90,7 @@
 
     std::string key;
     std::string keyName;
-    nlohmann::json customer {{"rate", 100000}, {"burst", 200000}};
+    nlohmann::json customer{{"rate", 100000}, {"burst", 200000}};
 
 private:
     std::string writeSettings(const std::string &name, const nlohmann::json &settings);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -48,8 +48,8 @@
         return {"chat-vi", 1000, 100, std::move(blocks), {}};
     }
 
-    TimePoint now_ {1h};
-    Router router_ {{.dataCentre = "dc-1"}};
+    TimePoint now_{1h};
+    Router router_{{.dataCentre = "dc-1"}};
 };
 
 TEST_F(RouterTest, OneIsShortest_ItIsChosen)
@@ -182,7 +182,7 @@
 
 TEST(Rendezvous, CandidateLeaves_OnlyItsKeysMove)
 {
-    const std::vector<std::string> all {"a", "b", "c", "d"};
+    const std::vector<std::string> all{"a", "b", "c", "d"};
     for (int key = 0; key < 200; ++key) {
         const std::string text = std::to_string(key);
         const std::string before = rendezvous(text, all, 1).front();
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -13,7 +13,7 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds StepInterval {1};
+constexpr std::chrono::milliseconds StepInterval{1};
 constexpr std::size_t MaxEvents = 8192;
 
 void respondJson(const HttpReply &reply, int status, const nlohmann::json &body)
@@ -87,7 +87,7 @@
         respondJson(reply, 400, {{"error", {{"message", "bad request"}, {"code", "bad_request"}}}});
         return;
     }
-    Sequence sequence {++lastSequence_, request.connection, reply};
+    Sequence sequence{++lastSequence_, request.connection, reply};
     std::string resumed;
     for (const auto &message : body["messages"]) {
         const std::string content = message.value("content", "");
@@ -113,7 +113,7 @@
 
 void EngineStandIn::order(const HttpReply &reply, const nlohmann::json &body)
 {
-    const std::uint64_t fencing = body.value("fencing", std::uint64_t {0});
+    const std::uint64_t fencing = body.value("fencing", std::uint64_t{0});
     if (options_.checksFencing && fencing < highestFencing_) {
         respondJson(reply, 409, {{"error", "old fencing token"}});
         return;
@@ -194,9 +194,9 @@
         sequence.text += token;
         sequence.nextToken += seconds(1 / options_.decodeTokensPerSecond);
         const bool last = sequence.produced == sequence.wanted;
-        const nlohmann::json choice {
+        const nlohmann::json choice{
             {"index", 0}, {"delta", {{"content", token}}}, {"finish_reason", last ? nlohmann::json("stop") : nlohmann::json()}};
-        chunk += "data: " + nlohmann::json {{"choices", {choice}}}.dump() + "\n\n";
+        chunk += "data: " + nlohmann::json{{"choices", {choice}}}.dump() + "\n\n";
     }
     if (sequence.stream && !chunk.empty()) {
         sequence.reply.append(std::move(chunk));
@@ -208,16 +208,16 @@
 
 void EngineStandIn::finish(Sequence &sequence)
 {
-    const nlohmann::json usage {{"prompt_tokens", sequence.promptTokens},
-                                {"completion_tokens", sequence.produced},
-                                {"prompt_tokens_details", {{"cached_tokens", std::min(sequence.cachedTokens, sequence.promptTokens)}}}};
+    const nlohmann::json usage{{"prompt_tokens", sequence.promptTokens},
+                               {"completion_tokens", sequence.produced},
+                               {"prompt_tokens_details", {{"cached_tokens", std::min(sequence.cachedTokens, sequence.promptTokens)}}}};
     if (sequence.stream) {
-        sequence.reply.append("data: " + nlohmann::json {{"choices", nlohmann::json::array()}, {"usage", usage}}.dump()
+        sequence.reply.append("data: " + nlohmann::json{{"choices", nlohmann::json::array()}, {"usage", usage}}.dump()
                               + "\n\ndata: [DONE]\n\n");
         sequence.reply.finish();
         return;
     }
-    const nlohmann::json choice {{"index", 0}, {"message", {{"role", "assistant"}, {"content", sequence.text}}}, {"finish_reason", "stop"}};
+    const nlohmann::json choice{{"index", 0}, {"message", {{"role", "assistant"}, {"content", sequence.text}}}, {"finish_reason", "stop"}};
     respondJson(sequence.reply, 200, {{"choices", {choice}}, {"usage", usage}});
 }
 
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -33,7 +33,7 @@
     /** Memory of the prefix cache. */
     std::size_t cacheBlocks = 4096;
     bool checksFencing = true;
-    std::chrono::milliseconds roleChangeTime {1000};
+    std::chrono::milliseconds roleChangeTime{1000};
     std::uint64_t defaultOutputTokens = 16;
 };
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -21,7 +21,7 @@
         std::cerr << status.message() << '\n';
         return 1;
     }
-    std::cout << nlohmann::json {{"port", server.port()}}.dump() << std::endl;
+    std::cout << nlohmann::json{{"port", server.port()}}.dump() << std::endl;
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&context](const std::error_code &, int) { context.stop(); });
     context.run();
@@ -69,7 +69,7 @@
                 return;
             }
             if (request.path == "/admin/state") {
-                reply.respond(200, {}, nlohmann::json {{"calls", calls.load()}, {"sawKey", sawKey.load()}}.dump());
+                reply.respond(200, {}, nlohmann::json{{"calls", calls.load()}, {"sawKey", sawKey.load()}}.dump());
                 return;
             }
             if (request.path == "/admin/faults") {
@@ -82,7 +82,7 @@
             if (silent) {
                 return;
             }
-            const nlohmann::json answer {{"number", number}, {"method", request.method}, {"path", request.path}, {"body", request.body}};
+            const nlohmann::json answer{{"number", number}, {"method", request.method}, {"path", request.path}, {"body", request.body}};
             auto timer = std::make_shared<asio::steady_timer>(context, std::chrono::milliseconds(delayMs));
             timer->async_wait([timer, reply, answer](const std::error_code &) {
                 reply.respond(200, {{"Content-Type", "application/json"}}, answer.dump());
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -120,7 +120,7 @@
         if (put["value"].is_null()) {
             rows_.erase(key);
         } else {
-            rows_[key] = Row {put["value"].get<std::string>(), ++lastVersion_};
+            rows_[key] = Row{put["value"].get<std::string>(), ++lastVersion_};
         }
     }
     return true;
--- a/tests/usage/usageledger_test.cpp
+++ b/tests/usage/usageledger_test.cpp
@@ -159,7 +159,7 @@
 
 TEST(UsageText, RoundTrip_KeepsFigures)
 {
-    const CustomerUsage usage {{"desk", {3, 100, 50}}};
+    const CustomerUsage usage{{"desk", {3, 100, 50}}};
     EXPECT_EQ(*usageFromText(usageToText(usage, "a")), usage);
     EXPECT_FALSE(usageFromText("{}").ok());
 }
