--- a/src/chestnutcove/callerapi.cpp
+++ b/src/chestnutcove/callerapi.cpp
@@ -150,7 +150,7 @@
         listModels(request, reply, *catalogue, publicId);
         return;
     }
-    Outcome outcome = read(request, reply, *catalogue, publicId);
+    Outcome outcome = readGuarded(request, reply, *catalogue, publicId);
     if (const auto *failure = std::get_if<CallerFailure>(&outcome)) {
         metrics_.counter("requests_refused_total{code=\"" + std::string(nameOf(CallerErrorNames, failure->error)) + "\"}").add();
         respondWith(reply, *failure, publicId);
@@ -159,6 +159,16 @@
     onRequest_(std::get<CallerRequest>(std::move(outcome)));
 }
 
+CallerApi::Outcome
+CallerApi::readGuarded(HttpRequest &request, const HttpReply &reply, const Catalogue &catalogue, const std::string &publicId) const
+{
+    try {
+        return read(request, reply, catalogue, publicId);
+    } catch (const nlohmann::json::exception &) {
+        return invalid("the body has a field of a wrong type");
+    }
+}
+
 CallerApi::Outcome
 CallerApi::read(HttpRequest &request, const HttpReply &reply, const Catalogue &catalogue, const std::string &publicId) const
 {
--- a/src/chestnutcove/callerapi.h
+++ b/src/chestnutcove/callerapi.h
@@ -46,6 +46,8 @@
 private:
     using Outcome = std::variant<CallerRequest, CallerFailure>;
 
+    /** As read(); data of a wrong shape that it did not expect is an invalid request too. */
+    Outcome readGuarded(HttpRequest &request, const HttpReply &reply, const Catalogue &catalogue, const std::string &publicId) const;
     Outcome read(HttpRequest &request, const HttpReply &reply, const Catalogue &catalogue, const std::string &publicId) const;
     Outcome readChat(HttpRequest &request, CallerRequest result, const Catalogue &catalogue) const;
     Outcome readService(HttpRequest &request, CallerRequest result, const ServiceEntry &service) const;
--- a/src/chestnutcove/main.cpp
+++ b/src/chestnutcove/main.cpp
@@ -25,9 +25,22 @@
     return (static_cast<std::uint64_t>(device()) << 32U) ^ device();
 }
 
+/** Runs the event loop. An event that fails on malformed data from outside is dropped; the process goes on. */
+void runEvents(asio::io_context &context, const Log &log)
+{
+    while (true) {
+        try {
+            context.run();
+            return;
+        } catch (const nlohmann::json::exception &error) {
+            log.error("malformed data from outside", {{"reason", error.what()}});
+        }
+    }
+}
+
 /** Runs a role until it stopped gracefully; a second signal stops it at once. */
 template<typename Role>
-ExitCode runRole(Role &role, asio::io_context &context, const std::function<nlohmann::json()> &ports)
+ExitCode runRole(Role &role, asio::io_context &context, const Log &log, const std::function<nlohmann::json()> &ports)
 {
     if (const absl::Status status = role.start(); !status.ok()) {
         std::cerr << status.message() << '\n';
@@ -46,7 +59,7 @@
         });
         role.stop([&context] { context.stop(); });
     });
-    context.run();
+    runEvents(context, log);
     return ExitCode::Done;
 }
 
@@ -61,7 +74,7 @@
     Metrics metrics;
     asio::io_context context;
     Gateway gateway(*settings, context, log, metrics, randomIncarnation());
-    return runRole(gateway, context, [&gateway] {
+    return runRole(gateway, context, log, [&gateway] {
         return nlohmann::json{
             {"ready", true}, {"callers", gateway.callerPort()}, {"operators", gateway.operatorPort()}, {"link", gateway.linkPort()}};
     });
@@ -78,7 +91,7 @@
     Metrics metrics;
     asio::io_context context;
     Sidecar sidecar(*settings, context, log, metrics, randomIncarnation());
-    return runRole(sidecar, context, [&sidecar] { return nlohmann::json{{"ready", true}, {"link", sidecar.port()}}; });
+    return runRole(sidecar, context, log, [&sidecar] { return nlohmann::json{{"ready", true}, {"link", sidecar.port()}}; });
 }
 
 ExitCode checkSettings(const std::string &role, const std::string &file)
--- a/tests/usage/usageledger_test.cpp
+++ b/tests/usage/usageledger_test.cpp
@@ -67,16 +67,14 @@
             return;
         }
         const WindowNumber window = flush_->window;
-        if (lost) {
+        if (lost || (!landed_ && window >= sealed_)) {
             // A write that is still under way may land before the next one is sent, but not after it: its attempt is over.
             ledger_.flushUnknown();
         } else if (landed_) {
             ledger_.flushed();
             stored_[window] = rows_[window];
-        } else if (window < sealed_) {
-            ledger_.sealed(window_, fault_ == Fault::TrustsMemory ? stored_[window] : rows_[window]);
         } else {
-            ledger_.flushUnknown();
+            ledger_.sealed(window_, fault_ == Fault::TrustsMemory ? stored_[window] : rows_[window]);
         }
         flush_.reset();
     }
