--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,12 +13,12 @@
     case $argument in
     --sanitize)
         build=build-sanitize
-        options=(-DCHESTNUTCOVE_SANITIZE=address,undefined)
+        options=(-DCHESTNUTCOVE_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug)
         checks=no
         ;;
     --thread)
         build=build-thread
-        options=(-DCHESTNUTCOVE_SANITIZE=thread)
+        options=(-DCHESTNUTCOVE_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug)
         checks=no
         ;;
     *)
