Request runner: answers are written by a class of their own; request ids from callers are plain

Change: AnswerWriter; ids from callers may hold letters, digits, '-', '_' and '.'; a test sends one with a quote.

--- a/src/chestnutcove/callerapi.cpp
+++ b/src/chestnutcove/callerapi.cpp
@@ -132,8 +132,10 @@
 std::string CallerApi::newPublicId(const HttpRequest &request)
 {
     const auto given = request.value("X-Request-Id");
-    const bool usable = given && !given->empty() && given->size() <= MaxClientIdLength
-        && std::all_of(given->begin(), given->end(), [](unsigned char c) { return std::isgraph(c) != 0; });
+    const bool usable
+        = given && !given->empty() && given->size() <= MaxClientIdLength && std::all_of(given->begin(), given->end(), [](unsigned char c) {
+              return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+          });
     const std::uint64_t number = ++lastRequest_;
     return usable ? std::string(*given) : absl::StrFormat("req-%016x-%x", incarnation_, number);
 }
--- a/src/chestnutcove/requestrunner.cpp
+++ b/src/chestnutcove/requestrunner.cpp
@@ -13,7 +13,6 @@
 constexpr double OutputSmoothing = 0.1;
 constexpr std::size_t MaxTrails = 2000;
 constexpr Milliseconds MinQueueTimeout{100};
-constexpr int CodeOk = 200;
 constexpr int FirstErrorCode = 400;
 
 FlowOptions toFlowOptions(const GatewayTiming &timing)
@@ -24,11 +23,6 @@
     return options;
 }
 
-std::string eventOf(const std::string &json)
-{
-    return "data: " + json + "\n\n";
-}
-
 CallerError toCallerError(FlowFailure failure)
 {
     switch (failure) {
@@ -103,7 +97,8 @@
     active->flow = std::make_unique<RequestFlow>(flowOptions_, caller.idempotent, caller.isChat, routeDeadline);
     active->query = RouteQuery{caller.serves, static_cast<double>(caller.promptTokens), expectedOutput(caller), caller.blocks, {}};
     active->trail = RequestTrail{caller.publicId, customerName(caller), caller.serves, {}};
-    active->created = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
+    active->writer = std::make_unique<AnswerWriter>(caller, std::chrono::duration_cast<std::chrono::seconds>(wallClock).count());
     byConnection_.emplace(caller.connection, id);
     retryBudget_.firstAttempt();
     metrics_.counter("requests_total").add();
@@ -349,7 +344,7 @@
         active.answer.add(event);
     }
     if (active.caller.stream) {
-        sendEvents(active, chunk);
+        active.writer->sendEvents(chunk);
     }
     active.deliveredTokens += chunk.tokens();
     metrics_.counter("output_tokens_total").add(chunk.tokens());
@@ -359,23 +354,6 @@
     }
 }
 
-void RequestRunner::sendEvents(Active &active, const wire::Chunk &chunk)
-{
-    const CallerRequest &caller = active.caller;
-    if (!active.streamBegun) {
-        active.streamBegun = true;
-        caller.reply.beginStream(CodeOk,
-                                 {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", caller.publicId}});
-    }
-    const std::string head = R"({"id":")" + caller.publicId + R"(","object":"chat.completion.chunk","created":)"
-        + std::to_string(active.created) + R"(,"model":")" + caller.serves + R"(","choices":)";
-    std::string text;
-    for (const std::string &event : chunk.events()) {
-        text += eventOf(head + event + "}");
-    }
-    caller.reply.append(std::move(text));
-}
-
 void RequestRunner::onEnd(ActiveId id, Active &active, const wire::End &end)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -450,7 +428,7 @@
 {
     const int status = static_cast<int>(end.status());
     active.trail.steps.push_back("answered with status " + std::to_string(status));
-    if (active.streamBegun) {
+    if (active.writer->hasBegun()) {
         fail(id, {CallerError::EndpointRefused, "the endpoint refused to go on", false});
         return;
     }
@@ -473,23 +451,10 @@
     const CallerRequest &caller = active.caller;
     active.trail.steps.push_back("answered with " + std::to_string(active.deliveredTokens) + " tokens");
     learnOutput(active);
-    if (!caller.stream) {
-        answerWhole(active);
+    if (caller.stream) {
+        active.writer->finishStream(usageOf(active), caller.wantsUsage);
     } else {
-        if (!active.streamBegun) {
-            sendEvents(active, wire::Chunk());
-        }
-        if (caller.wantsUsage) {
-            const nlohmann::json usage{{"id", caller.publicId},
-                                       {"object", "chat.completion.chunk"},
-                                       {"created", active.created},
-                                       {"model", caller.serves},
-                                       {"choices", nlohmann::json::array()},
-                                       {"usage", usageOf(active)}};
-            caller.reply.append(eventOf(usage.dump()));
-        }
-        caller.reply.append(eventOf("[DONE]"));
-        caller.reply.finish();
+        active.writer->sendWhole(active.answer.choices(), usageOf(active));
     }
     metrics_.counter("requests_served_total").add();
     metrics_.distribution("request_seconds").add(toSeconds(std::chrono::steady_clock::now() - caller.arrival));
@@ -497,20 +462,6 @@
     remove(id);
 }
 
-void RequestRunner::answerWhole(Active &active)
-{
-    const CallerRequest &caller = active.caller;
-    const nlohmann::json body{{"id", caller.publicId},
-                              {"object", "chat.completion"},
-                              {"created", active.created},
-                              {"model", caller.serves},
-                              {"choices", active.answer.choices()},
-                              {"usage", usageOf(active)}};
-    caller.reply.respond(CodeOk,
-                         {{"Content-Type", "application/json"}, {"X-Request-Id", caller.publicId}},
-                         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-}
-
 void RequestRunner::failFlow(ActiveId id, const FlowStep &step)
 {
     fail(id, {toCallerError(step.failure), messageOf(step.failure), step.notRun, step.retryAfter});
@@ -531,13 +482,7 @@
                {"dataCentre", settings_.dataCentre},
                {"code", code},
                {"notRun", failure.notRun ? "true" : "false"}});
-    if (active.streamBegun) {
-        // No end mark follows, so that a cut answer can't be taken for a whole one.
-        caller.reply.append(eventOf(toJson(failure).dump()));
-        caller.reply.finish();
-    } else {
-        respondWith(caller.reply, failure, caller.publicId);
-    }
+    active.writer->fail(failure);
     if (active.idempotencyHeld && failure.notRun) {
         idempotency_.release(customerName(caller), caller.serves, caller.idempotencyKey);
     }
--- a/src/chestnutcove/requestrunner.h
+++ b/src/chestnutcove/requestrunner.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "answerassembler.h"
+#include "answerwriter.h"
 #include "callerrequest.h"
 #include "endpointlinks.h"
 #include "idempotencystore.h"
@@ -78,6 +79,7 @@
         CallerRequest caller;
         std::unique_ptr<RequestFlow> flow;
         AnswerAssembler answer;
+        std::unique_ptr<AnswerWriter> writer;
         LinkKey link;
         /** Of the current attempt's submission. */
         Tick tick;
@@ -89,12 +91,10 @@
         std::uint64_t deliveredBefore = 0;
         std::uint64_t promptTokens = 0;
         bool waitsForEndpoint = false;
-        bool streamBegun = false;
         bool idempotencyHeld = false;
         std::string body;
         TimePoint firstChunkAt;
         RequestTrail trail;
-        std::int64_t created = 0;
     };
     using ActiveId = std::uint64_t;
 
@@ -105,9 +105,7 @@
     void take(ActiveId id, const FlowStep &step);
     void onChunk(ActiveId id, Active &active, const wire::Chunk &chunk);
     void onEnd(ActiveId id, Active &active, const wire::End &end);
-    void sendEvents(Active &active, const wire::Chunk &chunk);
     void finish(ActiveId id);
-    void answerWhole(Active &active);
     void passOn(ActiveId id, Active &active, const wire::End &end);
     void fail(ActiveId id, const CallerFailure &failure);
     void failFlow(ActiveId id, const FlowStep &step);
--- a/tests/processes/processes_test.cpp
+++ b/tests/processes/processes_test.cpp
@@ -147,6 +147,9 @@
     EXPECT_EQ(send({"GET", url, fleet_.key}).code, 405);
     EXPECT_EQ(codeOf(post("{")), "invalid_request");
     EXPECT_EQ(post("{").json["error"]["not_run"], true);
+    TestCall quoted{"POST", url, fleet_.key, R"({"model":"chat","stream":true,"messages":[{"role":"user","content":"x"}]})"};
+    quoted.headers = {{"X-Request-Id", "a\"b"}};
+    EXPECT_EQ(streamedContent(send(quoted)), expectedAnswer("x", 16));
     EXPECT_EQ(fleet_.callOperator("entry-1", "PUT", "/operator/catalogue/customer/x", {{"document", {{"rate", "fast"}}}}).code, 400);
     EXPECT_EQ(fleet_.callOperator("entry-1", "GET", "/operator/nothing").code, 404);
     EXPECT_EQ(fleet_.chat("entry-1", "still here").code, 200);
