Membership: a process that joins again is waited for again; a late message can't confirm a stop

Cause, found by reading: a process once confirmed stopped stayed so for ever, so that after it had joined and been removed a second time its share could be taken before its proofs had run out; a late message of an older process of a name made its successor look replaced. An Idempotency-Key whose caller left during the claim stayed used. Change: joining clears the confirmation, a later retirement counts anew, stopped processes are not listened to; the key is freed.

--- a/src/chestnutcove/requestrunner.cpp
+++ b/src/chestnutcove/requestrunner.cpp
@@ -115,9 +115,13 @@
         admit(id);
         return;
     }
-    idempotency_.claim(customerName(caller), caller.serves, caller.idempotencyKey, [this, id](IdempotencyOutcome outcome) {
+    const auto onClaim = [this, id, customer = customerName(caller), serves = caller.serves, key = caller.idempotencyKey](auto outcome) {
         const auto it = active_.find(id);
         if (it == active_.end()) {
+            // The caller left meanwhile, so the request is not run.
+            if (outcome == IdempotencyOutcome::Claimed) {
+                idempotency_.release(customer, serves, key);
+            }
             return;
         }
         if (outcome == IdempotencyOutcome::Claimed) {
@@ -128,7 +132,8 @@
         } else {
             fail(id, {CallerError::StoreUnavailable, "the Idempotency-Key can't be recorded at present", true, std::chrono::seconds(1)});
         }
-    });
+    };
+    idempotency_.claim(customerName(caller), caller.serves, caller.idempotencyKey, onClaim);
 }
 
 void RequestRunner::admit(ActiveId id)
--- a/src/libmembership/sharegate.cpp
+++ b/src/libmembership/sharegate.cpp
@@ -16,26 +16,41 @@
     if (row.epoch <= row_.epoch) {
         return;
     }
+    // A process that was taken for stopped may have joined again; from then on it must be waited for anew.
+    for (const GatewayMember &member : row.members) {
+        stopped_.erase(member.identity);
+    }
     // Processes that left between two rows that we saw, without the newer row saying so, have retired too.
     for (const GatewayMember &member : row_.members) {
         if (!row.contains(member.identity)) {
-            retired_.try_emplace(member.identity, Retired{RetiredMember{member.identity, row_.epoch, row_.electors()}});
+            retire({member.identity, row_.epoch, row_.electors()});
         }
     }
     for (const RetiredMember &member : row.retired) {
-        if (stopped_.contains(member.identity)) {
-            continue;
-        }
-        const auto [it, inserted] = retired_.try_emplace(member.identity, Retired{member});
-        it->second.member = member;
+        retire(member);
     }
     row_ = row;
     clearSince_.reset();
     noteMovedOn(now);
 }
 
+void ShareGate::retire(const RetiredMember &member)
+{
+    if (stopped_.contains(member.identity)) {
+        return;
+    }
+    const auto [it, inserted] = retired_.try_emplace(member.identity, Retired{member});
+    if (!inserted && member.lastEpoch > it->second.member.lastEpoch) {
+        it->second = Retired{member};
+    }
+}
+
 void ShareGate::acknowledged(const GatewayIdentity &identity, std::uint64_t epoch, TimePoint now)
 {
+    // A late message of a process that has stopped must not make its successor look replaced.
+    if (stopped_.contains(identity)) {
+        return;
+    }
     std::uint64_t &known = acknowledged_[identity];
     known = std::max(known, epoch);
     running_[identity.name] = identity.incarnation;
@@ -113,7 +128,7 @@
 {
     std::erase_if(retired_, [&](const auto &item) {
         const bool stopped = isStopped(item.second, now);
-        if (stopped) {
+        if (stopped && !row_.contains(item.first)) {
             stopped_.insert(item.first);
         }
         return stopped;
--- a/src/libmembership/sharegate.h
+++ b/src/libmembership/sharegate.h
@@ -54,6 +54,7 @@
         TimePoint movedOnAt = TimePoint::max();
     };
 
+    void retire(const RetiredMember &member);
     void noteMovedOn(TimePoint now);
     /** A majority of those who could vouch for the member knows a newer epoch than its last. */
     bool electorsMovedOn(const RetiredMember &member) const;
