--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -27,7 +27,6 @@
 put service orders '{ "owner": "fleece-desk", "pathPrefix": "/orders", "safeMethods": ["GET"] }'
 put endpoint chat-1 "{ \"dataCentre\": \"dc-1\", \"sidecar\": \"127.0.0.1:$(json "$work/chat-1.out" link)\", \"serves\": \"chat-vi\" }"
 put endpoint orders-1 "{ \"dataCentre\": \"dc-1\", \"sidecar\": \"127.0.0.1:$(json "$work/orders-1.out" link)\", \"serves\": \"orders\", \"role\": \"plain\" }"
-operator entry-1 --version >/dev/null 2>&1 || true
 granted=$(operator entry-1 key grant fleece-desk --json 2>/dev/null)
 key=$(python3 -c 'import json,sys; print(json.loads(sys.argv[1])["key"])' "$granted")
 name=$(python3 -c 'import json,sys; print(json.loads(sys.argv[1])["name"])' "$granted")
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -79,7 +79,7 @@
     read -r reads writes < <(state)
     cpu=$(cpu_ms "$gateway")
     cpu_sidecar=$(cpu_ms "$sidecar")
-    io=$(awk '/^lo:/ {print 1}' /proc/net/dev >/dev/null; awk -F'[: ]+' '/lo:/ {print $3}' /proc/net/dev)
+    io=$(awk -F'[: ]+' '/lo:/ {print $3}' /proc/net/dev)
     sleep 20
     read -r reads_after writes_after < <(state)
     io_after=$(awk -F'[: ]+' '/lo:/ {print $3}' /proc/net/dev)
