Authority tests: the random steps of both stand once

Cause: the lease's and the order gate's tests held the same step type, generator and search (shown by duplicates). Change: tests/authority/randomsteps.h; kinds, lengths, seeds and numbers of sequences are as they were.

--- a/tests/authority/leasekeeper_test.cpp
+++ b/tests/authority/leasekeeper_test.cpp
@@ -3,6 +3,8 @@
  */
 #include "leasekeeper.h"
 
+#include "randomsteps.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -165,21 +167,7 @@
     bool conflict_ = false;
 };
 
-struct Step
-{
-    int kind = 0;
-    std::size_t argument = 0;
-};
-
-std::ostream &operator<<(std::ostream &out, const Step &step)
-{
-    return out << "{" << step.kind << "," << step.argument << "}";
-}
-
-rc::Gen<Step> anyStep()
-{
-    return rc::gen::construct<Step>(rc::gen::inRange(0, 16), rc::gen::inRange<std::size_t>(0, 64));
-}
+constexpr int StepKinds = 16;
 
 bool conflicts(Fault fault, const std::vector<Step> &steps)
 {
@@ -224,17 +212,12 @@
 
 bool oracleSees(Fault fault)
 {
-    for (std::size_t seed = 0; seed < 5000; ++seed) {
-        if (conflicts(fault, rc::gen::container<std::vector<Step>>(200, anyStep())(rc::Random(seed), 100).value())) {
-            return true;
-        }
-    }
-    return false;
+    return anySequence(5000, 200, StepKinds, [fault](const std::vector<Step> &steps) { return conflicts(fault, steps); });
 }
 
 RC_GTEST_PROP(LeaseKeeper, AnyFaults_NeverTwoHolders, ())
 {
-    const auto steps = *rc::gen::container<std::vector<Step>>(anyStep());
+    const auto steps = *rc::gen::container<std::vector<Step>>(anyStep(StepKinds));
     RC_ASSERT(!conflicts(Fault::None, steps));
 }
 
--- a/tests/authority/ordergate_test.cpp
+++ b/tests/authority/ordergate_test.cpp
@@ -4,6 +4,8 @@
  */
 #include "ordergate.h"
 
+#include "randomsteps.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -141,21 +143,7 @@
     bool conflict_ = false;
 };
 
-struct Step
-{
-    int kind = 0;
-    std::size_t argument = 0;
-};
-
-std::ostream &operator<<(std::ostream &out, const Step &step)
-{
-    return out << "{" << step.kind << "," << step.argument << "}";
-}
-
-rc::Gen<Step> anyStep()
-{
-    return rc::gen::construct<Step>(rc::gen::inRange(0, 12), rc::gen::inRange<std::size_t>(0, 64));
-}
+constexpr int StepKinds = 12;
 
 bool conflicts(Fault fault, const std::vector<Step> &steps)
 {
@@ -197,17 +185,12 @@
 
 bool oracleSees(Fault fault)
 {
-    for (std::size_t seed = 0; seed < 40000; ++seed) {
-        if (conflicts(fault, rc::gen::container<std::vector<Step>>(120, anyStep())(rc::Random(seed), 100).value())) {
-            return true;
-        }
-    }
-    return false;
+    return anySequence(40000, 120, StepKinds, [fault](const std::vector<Step> &steps) { return conflicts(fault, steps); });
 }
 
 RC_GTEST_PROP(OrderGate, AnyFaults_NoConflictingOrderTakesEffect, ())
 {
-    const auto steps = *rc::gen::container<std::vector<Step>>(anyStep());
+    const auto steps = *rc::gen::container<std::vector<Step>>(anyStep(StepKinds));
     RC_ASSERT(!conflicts(Fault::None, steps));
 }
 
