--- a/src/chestnutcove/callerapi.cpp
+++ b/src/chestnutcove/callerapi.cpp
@@ -2,6 +2,7 @@
 
 #include "callerkey.h"
 #include "promptblocks.h"
+#include "suspendclock.h"
 
 #include <absl/strings/str_format.h>
 
@@ -177,7 +178,7 @@
     CallerRequest result{reply};
     result.connection = request.connection;
     result.publicId = publicId;
-    result.arrival = std::chrono::steady_clock::now();
+    result.arrival = suspendAwareNow();
     result.method = request.method;
     for (const char *name : {"Authorization", "Content-Type", "Idempotency-Key"}) {
         if (request.values(name).size() > 1) {
@@ -216,7 +217,7 @@
     if (!header || !header->starts_with(BearerPrefix)) {
         return CallerFailure{CallerError::KeyMissing, "send the key as \"Authorization: Bearer KEY\""};
     }
-    if (!freshness_.isFresh(std::chrono::steady_clock::now())) {
+    if (!freshness_.isFresh(suspendAwareNow())) {
         return CallerFailure{CallerError::KeysNotFresh,
                              "this gateway can't tell at present which keys are withdrawn; try again",
                              true,
--- a/src/chestnutcove/dutylease.h
+++ b/src/chestnutcove/dutylease.h
@@ -1,52 +1,119 @@
 /**
- * Connects one duty's LeaseKeeper to the table service.
+ * Connects one duty's LeaseKeeper to a table service.
  */
 #pragma once
 
 #include "httptable.h"
 #include "leasekeeper.h"
 #include "log.h"
+#include "suspendclock.h"
 #include "tablewriter.h"
 
+#include <absl/strings/str_format.h>
+
 #include <random>
 #include <string>
+#include <utility>
 
 namespace Chestnutcove {
 
-class DutyLease
+template<TableService Table>
+class BasicDutyLease
 {
 public:
-    DutyLease(asio::any_io_executor executor,
-              HttpTable &table,
-              const Log &log,
-              std::string duty,
-              const std::string &holder,
-              std::uint64_t incarnation,
-              LeaseOptions options);
-
-    std::string rowKey() const;
+    BasicDutyLease(asio::any_io_executor executor,
+                   Table &table,
+                   const Log &log,
+                   std::string duty,
+                   const std::string &holder,
+                   std::uint64_t incarnation,
+                   LeaseOptions options)
+        : log_(log)
+        , duty_(std::move(duty))
+        , writer_(std::move(executor), table, options.duration)
+        , keeper_(holder, incarnation, options)
+        , random_(incarnation)
+    {
+    }
+
+    std::string rowKey() const
+    {
+        return "lease/" + duty_;
+    }
+
     /** Rows of a poll that asked for rowKey(). */
-    void observed(const TableRows &rows, TimePoint now);
+    void observed(const TableRows &rows, TimePoint now)
+    {
+        const auto it = rows.find(rowKey());
+        if (it == rows.end()) {
+            keeper_.observed(std::nullopt, 0, now);
+            return;
+        }
+        const auto row = LeaseRow::fromText(it->second.value);
+        if (row.ok()) {
+            keeper_.observed(*row, it->second.version, now);
+        } else {
+            log_.error("lease row unreadable", {{"duty", duty_}});
+        }
+    }
+
     /** Renews or takes the lease where it is due. */
-    void tick(TimePoint now);
-    void release(TimePoint now);
-    const LeaseKeeper &keeper() const;
+    void tick(TimePoint now)
+    {
+        if (const auto write = keeper_.poll(now)) {
+            send(*write);
+        }
+        const bool valid = keeper_.isValid(now);
+        if (valid != wasValid_) {
+            wasValid_ = valid;
+            log_.info(valid ? "lease acquired" : "lease lost", {{"duty", duty_}, {"epoch", std::to_string(keeper_.epoch())}});
+        }
+    }
+
+    void release(TimePoint now)
+    {
+        if (const auto write = keeper_.release(now)) {
+            send(*write);
+        }
+    }
+
+    const LeaseKeeper &keeper() const
+    {
+        return keeper_;
+    }
 
 private:
-    void send(const LeaseWrite &write);
+    void send(const LeaseWrite &lease)
+    {
+        TableWrite write;
+        write.attempt = absl::StrFormat("%016x", random_());
+        write.witnessKey = rowKey();
+        write.transaction.conditions = {{rowKey(), lease.replaces}};
+        write.transaction.puts = {{rowKey(), lease.row.toText(write.attempt)}};
+        writer_.write(std::move(write), [this](CommitOutcome outcome) {
+            switch (outcome) {
+            case CommitOutcome::Committed:
+                keeper_.committed(suspendAwareNow());
+                break;
+            case CommitOutcome::Conflict:
+                keeper_.rejected();
+                break;
+            case CommitOutcome::NotSent:
+            case CommitOutcome::Unknown:
+                keeper_.unknown();
+                break;
+            }
+        });
+    }
 
-    HttpTable &table_;
     const Log &log_;
     std::string duty_;
-    TableWriter<HttpTable> writer_;
+    TableWriter<Table> writer_;
     LeaseKeeper keeper_;
     std::mt19937_64 random_;
     bool wasValid_ = false;
 };
 
-inline const LeaseKeeper &DutyLease::keeper() const
-{
-    return keeper_;
-}
+using DutyLease = BasicDutyLease<HttpTable>;
 
 }
--- a/src/chestnutcove/endpointlinks.cpp
+++ b/src/chestnutcove/endpointlinks.cpp
@@ -1,5 +1,7 @@
 #include "endpointlinks.h"
 
+#include "suspendclock.h"
+
 #include <utility>
 
 namespace Chestnutcove {
@@ -141,7 +143,7 @@
 
 void EndpointLinks::receive(const LinkKey &key, const wire::Envelope &message)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const auto it = byKey_.find(key);
     if (it == byKey_.end()) {
         return;
--- a/src/chestnutcove/endpointorders.cpp
+++ b/src/chestnutcove/endpointorders.cpp
@@ -1,5 +1,7 @@
 #include "endpointorders.h"
 
+#include "suspendclock.h"
+
 #include <absl/strings/str_format.h>
 
 #include <utility>
@@ -123,7 +125,7 @@
 
 void EndpointOrders::send(const std::string &key, const TableRow &row, const nlohmann::json &intent)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const bool inTime = lease_.keeper().mayAct(now) && now + settings_.platformTimeout < lease_.keeper().validUntil();
     if (!inTime || lease_.keeper().epoch() != epoch_) {
         return;
--- /dev/null
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -0,0 +1,455 @@
+#include "forwardedrequest.h"
+
+#include "rendezvous.h"
+#include "suspendclock.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr int FirstSuccess = 200;
+constexpr int LastSuccess = 299;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+/** Whole answers are collected up to this size, so that a cut one can still be replaced; longer ones are passed on as they come. */
+constexpr std::size_t MaxCollectedBytes = 256 * 1024;
+/** Bytes that wait for a slow caller before its endpoint has to wait too. */
+constexpr std::size_t MaxPendingBytes = 256 * 1024;
+/** An endpoint's own answer at the deadline may still be on its way. */
+constexpr Milliseconds DeadlineSlack{15};
+/** Fraction of the time left that callers wait at most before they come back. */
+constexpr int ReturnFraction = 3;
+constexpr Milliseconds ShortestReturn{50};
+constexpr Milliseconds ReturnSpread{400};
+/** Prefill calls for one request. */
+constexpr unsigned MaxPrefills = 2;
+constexpr std::string_view EventEnd = "\n\n";
+
+bool isSuccess(int status)
+{
+    return status >= FirstSuccess && status <= LastSuccess;
+}
+
+}
+
+RetryBudget &ForwardingContext::retryBudget(const std::string &service)
+{
+    return retryBudgets.try_emplace(service, freshRetryBudget).first->second;
+}
+
+ForwardedRequest::ForwardedRequest(ForwardingContext &context, std::shared_ptr<CallerExchange> exchange, AdmittedRequest request)
+    : context_(context)
+    , exchange_(std::move(exchange))
+    , request_(std::move(request))
+    , policy_(request_.route->mayRepeat(), request_.route->maxAttempts)
+    , timer_(context.events)
+{
+    Milliseconds patience = request_.route->timeout;
+    if (request_.facts.patience) {
+        patience = std::min(patience, *request_.facts.patience);
+    }
+    deadline_ = exchange_->arrivedAt() + patience;
+    query_.dataCentre = context_.dataCentre;
+    query_.parts = request_.facts.promptParts;
+    query_.promptTokens = request_.facts.promptTokens.value_or(0);
+    query_.targetLatency = request_.route->targetLatency;
+}
+
+void ForwardedRequest::start()
+{
+    exchange_->onCallerGone([self = shared_from_this()] { self->callerGone(); });
+    exchange_->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->call_ && self->call_->connection) {
+            self->call_->connection->resumeReading();
+        }
+    });
+    timer_.expires_after(std::max(Duration(timeLeft()), Duration::zero()) + DeadlineSlack);
+    timer_.async_wait([weak = weak_from_this()](const std::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->giveUp();
+        }
+    });
+    context_.retryBudget(request_.service->name).firstAttempt();
+    place();
+}
+
+bool ForwardedRequest::isStreaming() const
+{
+    return request_.route->kind == RequestKind::Streaming;
+}
+
+Milliseconds ForwardedRequest::timeLeft() const
+{
+    return std::chrono::duration_cast<Milliseconds>(deadline_ - suspendAwareNow());
+}
+
+Milliseconds ForwardedRequest::returnDelay(Duration wait) const
+{
+    // The request's id spreads callers that were refused together.
+    const auto spread = Milliseconds(rendezvousHash(request_.facts.requestId) % ReturnSpread.count());
+    const Milliseconds delay = std::chrono::duration_cast<Milliseconds>(wait) + ShortestReturn + spread;
+    return std::max(ShortestReturn, std::min(delay, timeLeft() / ReturnFraction - ShortestReturn));
+}
+
+void ForwardedRequest::place()
+{
+    if (timeLeft() <= Milliseconds::zero()) {
+        giveUp();
+        return;
+    }
+    const TimePoint now = suspendAwareNow();
+    const Placement placement = context_.placement.place(query_, context_.directory.usable(request_.service->name), now);
+    switch (placement.verdict) {
+    case Placement::Verdict::NoEndpoint:
+        context_.metrics.counter("requests_without_endpoint_total").add();
+        take(policy_.giveUp(), nullptr);
+        return;
+    case Placement::Verdict::Overloaded:
+        context_.metrics.counter("requests_overloaded_total").add();
+        refuse(returnDelay(placement.expectedWait));
+        return;
+    case Placement::Verdict::Placed:
+        break;
+    }
+    if (placement.prefill) {
+        prefill(placement);
+    } else {
+        run(*placement.run, std::nullopt);
+    }
+}
+
+void ForwardedRequest::prefill(const Placement &placement)
+{
+    ++prefills_;
+    Platform::ForwardingFacts facts;
+    facts.prefillOnly = true;
+    send(*placement.prefill, CallWork::Prefill, placement.tokensToRead, std::move(facts));
+}
+
+void ForwardedRequest::run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt)
+{
+    policy_.attemptStarted();
+    Platform::ForwardingFacts facts;
+    facts.prefilled = prompt;
+    send(endpoint, CallWork::Run, 0, std::move(facts));
+}
+
+void ForwardedRequest::send(const EndpointRecord &endpoint, CallWork work, std::uint64_t promptTokens, Platform::ForwardingFacts facts)
+{
+    call_.emplace();
+    call_->endpoint = endpoint;
+    call_->work = work;
+    call_->promptTokens = promptTokens;
+    call_->startedAt = suspendAwareNow();
+    lastEndpoint_ = endpoint.id;
+    context_.loads.callStarted(endpoint.id, promptTokens);
+    facts.customer = request_.customer;
+    facts.endpointId = endpoint.id;
+    const auto limit = static_cast<unsigned>(std::ceil(request_.service->maxConnections * context_.connectionShare));
+    context_.pool.acquire(endpoint, limit, [self = shared_from_this(), endpoint, facts = std::move(facts)](const auto &connection) {
+        if (self->done_ && connection.ok()) {
+            self->context_.pool.release(endpoint, *connection);
+        }
+        if (self->done_) {
+            return;
+        }
+        if (!connection.ok()) {
+            const OutgoingCall call = self->closeCall(AttemptOutcome::NotSent);
+            if (call.work == CallWork::Prefill) {
+                self->prefillEnded(call, AttemptOutcome::NotSent);
+            } else {
+                self->runEnded(call, AttemptOutcome::NotSent);
+            }
+            return;
+        }
+        self->sendOn(*connection, facts);
+    });
+}
+
+void ForwardedRequest::sendOn(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingFacts &given)
+{
+    Platform::ForwardingFacts facts = given;
+    facts.timeLeft = timeLeft();
+    call_->connection = connection;
+    ConnectionCall call;
+    call.head = Platform::encodeRequest(exchange_->head(), facts);
+    call.body = exchange_->body();
+    call.isOurs = [id = request_.facts.requestId](const ResponseHead &head) {
+        const std::string answered = Platform::decodeAnswer(head).requestId;
+        return id.empty() || answered == id || (answered.empty() && !isSuccess(head.status));
+    };
+    if (facts.prefillOnly) {
+        call.isOurs = [id = request_.facts.requestId](const ResponseHead &head) {
+            const std::string answered = Platform::decodeAnswer(head).requestId;
+            return answered.empty() || answered == id;
+        };
+    }
+    const auto self = shared_from_this();
+    call.onHead = [self](const ResponseHead &head, std::optional<std::uint64_t>) { self->onHead(head); };
+    call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
+    call.onEnd = [self](CallEnd end) { self->onCallEnd(end); };
+    connection->send(std::move(call));
+}
+
+void ForwardedRequest::onHead(const ResponseHead &head)
+{
+    call_->head = head;
+    call_->answer = Platform::decodeAnswer(head);
+    if (call_->answer.load) {
+        context_.loads.loadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
+    }
+    const bool began = call_->work == CallWork::Run && !call_->answer.notRun;
+    if (began && !std::exchange(runBegan_, true)) {
+        context_.onRunBegan(request_.customer);
+    }
+}
+
+void ForwardedRequest::onBody(std::string_view bytes)
+{
+    call_->body.append(bytes);
+    const bool passesOn = call_->work == CallWork::Run && isSuccess(call_->head->status) && call_->answer.isSigned;
+    if (passesOn && (isStreaming() || exchange_->hasBegun() || call_->body.size() > MaxCollectedBytes)) {
+        passOnEvents();
+    }
+}
+
+void ForwardedRequest::passOnEvents()
+{
+    // A stream is cut between events, so that a break inside one never shows.
+    std::size_t size = call_->body.size();
+    if (isStreaming()) {
+        const auto end = call_->body.rfind(EventEnd);
+        size = end == std::string::npos ? 0 : end + EventEnd.size();
+    }
+    if (size == 0) {
+        return;
+    }
+    beginAnswer(*call_->head);
+    exchange_->send(std::string_view(call_->body).substr(0, size));
+    call_->body.erase(0, size);
+    if (exchange_->pendingBytes() > MaxPendingBytes && call_->connection) {
+        call_->connection->pauseReading();
+    }
+}
+
+void ForwardedRequest::beginAnswer(const ResponseHead &head)
+{
+    if (exchange_->hasBegun()) {
+        return;
+    }
+    context_.metrics.distribution("first_byte_seconds").add(toSeconds(suspendAwareNow() - exchange_->arrivedAt()));
+    exchange_->begin(Platform::encodeAnswer(head), std::nullopt);
+}
+
+AttemptOutcome ForwardedRequest::outcomeOf(CallEnd end) const
+{
+    if (end == CallEnd::NoAnswer) {
+        return AttemptOutcome::NoAnswer;
+    }
+    if (end == CallEnd::Broken || !call_->head) {
+        return AttemptOutcome::Broken;
+    }
+    if (call_->answer.notRun) {
+        return AttemptOutcome::NotRun;
+    }
+    if (!isSuccess(call_->head->status)) {
+        return AttemptOutcome::Failed;
+    }
+    const bool trusted = call_->answer.isSigned || call_->work == CallWork::Prefill;
+    return trusted ? AttemptOutcome::Succeeded : AttemptOutcome::Broken;
+}
+
+void ForwardedRequest::onCallEnd(CallEnd end)
+{
+    const AttemptOutcome outcome = outcomeOf(end);
+    OutgoingCall call = closeCall(outcome);
+    if (call.work == CallWork::Prefill) {
+        prefillEnded(call, outcome);
+    } else {
+        runEnded(std::move(call), outcome);
+    }
+}
+
+ForwardedRequest::OutgoingCall ForwardedRequest::closeCall(AttemptOutcome outcome)
+{
+    OutgoingCall call = std::move(*call_);
+    call_.reset();
+    context_.loads.callEnded(call.endpoint.id, call.promptTokens, outcome, suspendAwareNow());
+    if (call.connection) {
+        context_.pool.release(call.endpoint, call.connection);
+    }
+    return call;
+}
+
+void ForwardedRequest::prefillEnded(const OutgoingCall &call, AttemptOutcome outcome)
+{
+    const TimePoint now = suspendAwareNow();
+    if (outcome == AttemptOutcome::Succeeded) {
+        const auto handle = Platform::decodePrefilled(call.body);
+        if (handle.ok()) {
+            const double reading = static_cast<double>(call.promptTokens) / PlacementOptions{}.prefillTokensPerMs / 1000;
+            context_.loads.waitObserved(call.endpoint.id, now - call.startedAt - fromSeconds(reading), now);
+            context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts);
+            prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
+            promptHolder_ = call.endpoint;
+            const auto engine
+                = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name), call.endpoint, now);
+            if (engine) {
+                const auto prompt = std::exchange(prompt_, std::nullopt);
+                run(*engine, prompt);
+                return;
+            }
+            releasePrompt();
+        }
+    }
+    query_.excluded.insert(call.endpoint.id);
+    const bool free = outcome == AttemptOutcome::NotSent;
+    if (prefills_ < MaxPrefills && (free || context_.retryBudget(request_.service->name).take())) {
+        place();
+        return;
+    }
+    take(policy_.giveUp(), nullptr);
+}
+
+void ForwardedRequest::runEnded(OutgoingCall call, AttemptOutcome outcome)
+{
+    if (exchange_->hasBegun()) {
+        if (outcome == AttemptOutcome::Succeeded) {
+            exchange_->send(call.body);
+            exchange_->end();
+            finish("answered", call.head->status);
+        } else {
+            exchange_->abort();
+            finish("stream broken by endpoint", call.head->status);
+        }
+        return;
+    }
+    const NextStep step = policy_.attemptEnded(outcome, [this] { return context_.retryBudget(request_.service->name).take(); });
+    if (outcome != AttemptOutcome::Succeeded) {
+        context_.log.debug("attempt failed",
+                           {{"request", request_.facts.requestId},
+                            {"endpoint", call.endpoint.id},
+                            {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))}});
+    }
+    query_.excluded.insert(call.endpoint.id);
+    take(step, &call);
+}
+
+void ForwardedRequest::take(NextStep step, const OutgoingCall *call)
+{
+    switch (step) {
+    case NextStep::TryAgain:
+        place();
+        return;
+    case NextStep::Relay:
+        relay(*call);
+        return;
+    case NextStep::RefuseNotRun:
+        refuse(returnDelay(Duration::zero()));
+        return;
+    case NextStep::ReportFailure:
+        answerOwn(timeLeft() <= Milliseconds::zero() ? GatewayTimeout : BadGateway, std::nullopt);
+        return;
+    }
+}
+
+void ForwardedRequest::relay(const OutgoingCall &call)
+{
+    exchange_->answer(Platform::encodeAnswer(*call.head), call.body);
+    finish("answered", call.head->status);
+}
+
+void ForwardedRequest::refuse(Milliseconds retryAfter)
+{
+    answerOwn(Unavailable, retryAfter);
+}
+
+void ForwardedRequest::answerOwn(int status, std::optional<Milliseconds> retryAfter)
+{
+    exchange_->answer(Platform::encodeOwnAnswer(status, request_.facts.requestId, retryAfter), "");
+    finish(status == Unavailable ? "refused as not run" : "failed", status);
+}
+
+void ForwardedRequest::giveUp()
+{
+    if (done_) {
+        return;
+    }
+    const NextStep step = policy_.giveUp();
+    if (call_) {
+        if (call_->connection) {
+            call_->connection->cancel();
+        }
+        closeCall(AttemptOutcome::NoAnswer);
+    }
+    if (exchange_->hasBegun()) {
+        exchange_->abort();
+        finish("stream cut at its timeout", 0);
+        return;
+    }
+    take(step, nullptr);
+}
+
+void ForwardedRequest::callerGone()
+{
+    if (done_) {
+        return;
+    }
+    if (call_) {
+        if (call_->connection) {
+            call_->connection->cancel();
+        }
+        closeCall(AttemptOutcome::Succeeded);
+    }
+    finish("caller left", 0);
+}
+
+void ForwardedRequest::releasePrompt()
+{
+    if (!prompt_) {
+        return;
+    }
+    const auto prompt = *std::exchange(prompt_, std::nullopt);
+    context_.pool.acquire(*promptHolder_, 0, [&pool = context_.pool, holder = *promptHolder_, prompt](const auto &connection) {
+        if (!connection.ok()) {
+            return;
+        }
+        ConnectionCall call;
+        call.head = Platform::encodeHandleRelease(prompt);
+        call.onHead = [](const ResponseHead &, std::optional<std::uint64_t>) {};
+        call.onBody = [](std::string_view) {};
+        call.onEnd = [&pool, holder, connection = *connection](CallEnd) { pool.release(holder, connection); };
+        (*connection)->send(std::move(call));
+    });
+}
+
+void ForwardedRequest::finish(std::string_view outcome, int status)
+{
+    done_ = true;
+    timer_.cancel();
+    releasePrompt();
+    exchange_->onCallerGone(nullptr);
+    exchange_->onDrained(nullptr);
+    const double seconds = toSeconds(suspendAwareNow() - exchange_->arrivedAt());
+    context_.metrics.counter("requests_total{outcome=\"" + std::string(outcome) + "\"}").add();
+    context_.metrics.distribution("request_seconds").add(seconds);
+    context_.log.info("request done",
+                      {{"request", request_.facts.requestId},
+                       {"route", request_.route->name},
+                       {"customer", request_.customer},
+                       {"endpoint", lastEndpoint_},
+                       {"attempts", std::to_string(policy_.attempts())},
+                       {"catalogueVersion", std::to_string(request_.catalogue->version())},
+                       {"status", std::to_string(status)},
+                       {"outcome", std::string(outcome)},
+                       {"ms", std::to_string(static_cast<int>(seconds * 1000))}});
+}
+
+}
--- /dev/null
+++ b/src/chestnutcove/forwardedrequest.h
@@ -0,0 +1,131 @@
+/**
+ * One request on its way: placed, sent to an endpoint (for a long prompt first to one that reads it), answered. It ends with exactly one
+ * answer, or with a broken connection where an answer that had begun can't be completed.
+ */
+#pragma once
+
+#include "attemptpolicy.h"
+#include "callerserver.h"
+#include "endpointdirectory.h"
+#include "endpointloads.h"
+#include "endpointpool.h"
+#include "log.h"
+#include "metrics.h"
+#include "placement.h"
+#include "requestcodec.h"
+#include "retrybudget.h"
+#include "routecatalogue.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Chestnutcove {
+
+/** What all requests of a gateway share. */
+struct ForwardingContext
+{
+    asio::io_context &events;
+    const Log &log;
+    Metrics &metrics;
+    EndpointPool &pool;
+    EndpointDirectory &directory;
+    EndpointLoads &loads;
+    PlacementPolicy &placement;
+    std::string dataCentre;
+    /** By service. */
+    std::map<std::string, RetryBudget> retryBudgets;
+    RetryBudget freshRetryBudget;
+    /** This gateway's part of the connections that an endpoint accepts. */
+    double connectionShare = 0.2;
+    /** An endpoint began to run a request of the customer. */
+    std::function<void(const std::string &customer)> onRunBegan;
+
+    RetryBudget &retryBudget(const std::string &service);
+};
+
+/** A request that passed all checks. */
+struct AdmittedRequest
+{
+    Platform::CallerFacts facts;
+    /** Keeps the route and the service alive. */
+    std::shared_ptr<const RouteCatalogue> catalogue;
+    const Route *route = nullptr;
+    const RoutedService *service = nullptr;
+    /** Empty where the route needs no key. */
+    std::string customer;
+};
+
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
+{
+public:
+    ForwardedRequest(ForwardingContext &context, std::shared_ptr<CallerExchange> exchange, AdmittedRequest request);
+
+    void start();
+
+private:
+    struct OutgoingCall
+    {
+        EndpointRecord endpoint;
+        CallWork work = CallWork::Run;
+        std::uint64_t promptTokens = 0;
+        TimePoint startedAt;
+        std::shared_ptr<EndpointConnection> connection;
+        /** The answer's head, once it arrived. */
+        std::optional<ResponseHead> head;
+        Platform::AnswerFacts answer;
+        std::string body;
+    };
+
+    void place();
+    void prefill(const Placement &placement);
+    void run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt);
+    void send(const EndpointRecord &endpoint, CallWork work, std::uint64_t promptTokens, Platform::ForwardingFacts facts);
+    void sendOn(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingFacts &facts);
+
+    void onHead(const ResponseHead &head);
+    void onBody(std::string_view bytes);
+    void onCallEnd(CallEnd end);
+    AttemptOutcome outcomeOf(CallEnd end) const;
+    /** Ends the call in progress: counts it and gives its connection back. */
+    OutgoingCall closeCall(AttemptOutcome outcome);
+    void prefillEnded(const OutgoingCall &call, AttemptOutcome outcome);
+    void runEnded(OutgoingCall call, AttemptOutcome outcome);
+
+    void passOnEvents();
+    void beginAnswer(const ResponseHead &head);
+    void relay(const OutgoingCall &call);
+    void take(NextStep step, const OutgoingCall *call);
+    void refuse(Milliseconds retryAfter);
+    void answerOwn(int status, std::optional<Milliseconds> retryAfter);
+    void giveUp();
+    void callerGone();
+    void finish(std::string_view outcome, int status);
+    void releasePrompt();
+    bool isStreaming() const;
+    Milliseconds timeLeft() const;
+    Milliseconds returnDelay(Duration wait) const;
+
+    ForwardingContext &context_;
+    std::shared_ptr<CallerExchange> exchange_;
+    AdmittedRequest request_;
+    AttemptPolicy policy_;
+    asio::steady_timer timer_;
+    /** On the suspend-aware clock. */
+    TimePoint deadline_;
+    std::optional<OutgoingCall> call_;
+    /** Set while an engine holds the prompt for us. */
+    std::optional<Platform::PrefilledPrompt> prompt_;
+    std::optional<EndpointRecord> promptHolder_;
+    PlacementQuery query_;
+    unsigned prefills_ = 0;
+    bool runBegan_ = false;
+    bool done_ = false;
+    std::string lastEndpoint_;
+};
+
+}
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "operatorapi.h"
+#include "suspendclock.h"
 
 #include <absl/strings/str_format.h>
 #include <asio/post.hpp>
@@ -71,7 +72,7 @@
     , gate_(self_, withMargin(settings_.timing.freshness), withMargin(settings_.timing.grantLifetime))
     , keeper_({self_, "", settings_.dataCentre},
               {settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout},
-              std::chrono::steady_clock::now())
+              suspendAwareNow())
     , sync_(table_, catalogue_, log, [this](const Catalogue &catalogue) { applyCatalogue(catalogue); })
     , editor_(context.get_executor(), table_, catalogue_, sync_, incarnation + 2, settings_.timing.leaseDuration)
     , idempotency_(context.get_executor(), table_, incarnation + 3, 2 * settings_.platformTimeout)
@@ -186,7 +187,7 @@
         return status;
     }
     const GatewayMember self{self_, settings_.link.listen.address + ":" + std::to_string(peers_.port()), settings_.dataCentre};
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     keeper_ = MembershipKeeper(self, {settings_.timing.peerTimeout, settings_.timing.peerTimeout, 10 * settings_.timing.peerTimeout}, now);
     peers_.setSelf(self);
 
@@ -232,7 +233,7 @@
     asio::steady_timer &timer = *timers_.back();
     auto run = std::make_shared<std::function<void()>>();
     *run = [&timer, interval, action = std::move(action), weak = std::weak_ptr(run)] {
-        action(std::chrono::steady_clock::now());
+        action(suspendAwareNow());
         timer.expires_after(interval);
         timer.async_wait([self = weak.lock()](const std::error_code &error) {
             if (!error) {
@@ -264,7 +265,7 @@
         return;
     }
     polling_ = true;
-    const auto startedAt = std::chrono::steady_clock::now();
+    const auto startedAt = suspendAwareNow();
     table_.get({catalogueHeadKey(), MembershipKey, plannerLease_.rowKey(), reporterLease_.rowKey()},
                [this, startedAt](const absl::StatusOr<TableRows> &rows) {
                    polling_ = false;
@@ -274,7 +275,7 @@
 
 void Gateway::onHeads(TimePoint startedAt, const absl::StatusOr<TableRows> &rows)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     if (!rows.ok()) {
         proof_.readFailed(now);
         return;
@@ -299,7 +300,7 @@
     const auto it = rows.find(MembershipKey);
     if (it == rows.end()) {
         membershipRowVersion_ = 0;
-        keeper_.setRow(MembershipRow(), std::chrono::steady_clock::now());
+        keeper_.setRow(MembershipRow(), suspendAwareNow());
         return;
     }
     const auto row = MembershipRow::fromText(it->second.value);
@@ -315,7 +316,7 @@
 
 void Gateway::applyMembership(const MembershipRow &row)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     keeper_.setRow(row, now);
     gate_.setMembership(row, now);
     proof_.setMembership(row);
@@ -369,7 +370,7 @@
 
 void Gateway::applyCatalogue(const Catalogue &catalogue)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     proof_.setCatalogueVersion(catalogue.version());
     endpointLinks_.update(catalogue, now);
     limits_.setCatalogue(catalogue, now);
@@ -382,7 +383,7 @@
 
 wire::PeerState Gateway::ownState() const
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     wire::PeerState state;
     state.set_name(self_.name);
     state.set_incarnation(self_.incarnation);
@@ -405,7 +406,7 @@
 
 void Gateway::onPeerState(const wire::PeerState &state)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const GatewayIdentity identity{state.name(), state.incarnation()};
     keeper_.heard(identity, {state.suspects().begin(), state.suspects().end()}, now);
     gate_.acknowledged(identity, state.membership_epoch(), now);
@@ -423,7 +424,7 @@
 
 void Gateway::onPeerMessage(const wire::Envelope &message, const std::function<void(const wire::Envelope &)> &reply)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     switch (message.body_case()) {
     case wire::Envelope::kChangesRequest: {
         wire::Envelope answer;
@@ -453,7 +454,7 @@
     log_.info("gateway stopping", {{"active", std::to_string(runner_.active())}});
     stopping_ = true;
     onStopped_ = std::move(onStopped);
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     stopAt_ = now + settings_.timing.drainNotice;
     plannerLease_.release(now);
     reporterLease_.release(now);
@@ -483,7 +484,7 @@
 
 bool Gateway::isReady() const
 {
-    return !stopping_ && freshness_.isFresh(std::chrono::steady_clock::now());
+    return !stopping_ && freshness_.isFresh(suspendAwareNow());
 }
 
 std::map<std::string, std::uint64_t> Gateway::versionsInForce() const
@@ -495,7 +496,7 @@
 
 nlohmann::json Gateway::endpoints() const
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     nlohmann::json list = nlohmann::json::array();
     for (const auto &[name, endpoint] : router_.endpoints()) {
         const auto link = endpointLinks_.linkOf(name);
@@ -521,7 +522,7 @@
 
 nlohmann::json Gateway::dump()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const auto age = [now](TimePoint time) { return std::chrono::duration_cast<Milliseconds>(now - time).count(); };
     nlohmann::json peers = nlohmann::json::array();
     for (const auto &view : peers_.views()) {
--- a/src/chestnutcove/limitboard.cpp
+++ b/src/chestnutcove/limitboard.cpp
@@ -1,5 +1,7 @@
 #include "limitboard.h"
 
+#include "suspendclock.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -192,7 +194,7 @@
 
 void LimitBoard::pollBusy()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const std::set<std::string> busy = std::exchange(busy_, {});
     for (const std::string &customer : busy) {
         if (limiters_.contains(customer)) {
--- a/src/chestnutcove/main.cpp
+++ b/src/chestnutcove/main.cpp
@@ -3,6 +3,8 @@
  */
 #include "gateway.h"
 #include "operatorcommands.h"
+#include "platformgateway.h"
+#include "platformsettings.h"
 #include "sidecar.h"
 
 #include <CLI/CLI.hpp>
@@ -80,6 +82,28 @@
     });
 }
 
+ExitCode runPlatformGateway()
+{
+    const auto settings = Platform::loadSettings();
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << '\n';
+        return ExitCode::Usage;
+    }
+    const Log log("gateway " + settings->vmName, LogLevel::Info);
+    Metrics metrics;
+    asio::io_context context(1);
+    PlatformGateway gateway(*settings, context, log, metrics, randomIncarnation());
+    asio::signal_set reloads(context, SIGHUP);
+    std::function<void(const std::error_code &, int)> onReload = [&](const std::error_code &error, int) {
+        if (!error) {
+            gateway.reload(Platform::loadSettings());
+            reloads.async_wait(onReload);
+        }
+    };
+    reloads.async_wait(onReload);
+    return runRole(gateway, context, log, [] { return nlohmann::json{{"started", true}}; });
+}
+
 ExitCode runSidecar(const std::string &file)
 {
     const auto settings = readSidecarSettings(file);
@@ -147,8 +171,16 @@
     void addRoles()
     {
         auto *gateway = app_.add_subcommand("gateway", "Run a gateway: callers' and operators' HTTP, rate limits, routing");
-        gateway->add_option("--settings", file_, "Settings file")->required();
-        gateway->callback([this] { action_ = [this] { return runGateway(file_); }; });
+        auto *gatewaySettings = gateway->add_option("--settings", file_, "Settings file");
+        CLI::Option *onPlatform
+            = gateway->add_flag("--platform", onPlatform_, "Run on the users' platform, with the settings that it gives to each process");
+        onPlatform->excludes(gatewaySettings);
+        gateway->callback([this, gatewaySettings] {
+            if (gatewaySettings->count() == 0 && !onPlatform_) {
+                throw CLI::RequiredError("--settings or --platform");
+            }
+            action_ = [this] { return onPlatform_ ? runPlatformGateway() : runGateway(file_); };
+        });
         auto *sidecar = app_.add_subcommand("sidecar", "Run the sidecar of one endpoint");
         sidecar->add_option("--settings", file_, "Settings file")->required();
         sidecar->callback([this] { action_ = [this] { return runSidecar(file_); }; });
@@ -256,6 +288,7 @@
     OperatorOptions options_;
     std::function<ExitCode()> action_;
     std::string file_;
+    bool onPlatform_ = false;
     std::string role_;
     std::string kind_;
     std::string name_;
--- a/src/chestnutcove/peerlinks.cpp
+++ b/src/chestnutcove/peerlinks.cpp
@@ -1,5 +1,7 @@
 #include "peerlinks.h"
 
+#include "suspendclock.h"
+
 #include <algorithm>
 
 namespace Chestnutcove {
@@ -47,7 +49,7 @@
         return;
     }
     Peer peer;
-    peer.connectedAt = std::chrono::steady_clock::now();
+    peer.connectedAt = suspendAwareNow();
     peer.client = std::make_unique<LinkClient>(
         links_, address, gatewayKey_, [this, address](const wire::Envelope &message) { receive(address, message); });
     peers_.emplace(address, std::move(peer));
@@ -117,7 +119,7 @@
     if (it == peers_.end()) {
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     it->second.lastHeard = now;
     if (message.body_case() == wire::Envelope::kPeerState) {
         onReply(it->second, message.peer_state(), now);
--- /dev/null
+++ b/src/chestnutcove/platformgateway.cpp
@@ -0,0 +1,362 @@
+#include "platformgateway.h"
+
+#include "rendezvous.h"
+#include "rowdecoder.h"
+#include "suspendclock.h"
+
+#include <asio/ip/address_v4.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Unauthorised = 401;
+constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
+
+constexpr std::uint16_t MetricsPort = 9464;
+constexpr std::chrono::seconds StoreConnectionAge{60};
+constexpr Milliseconds StoreTimeout{700};
+constexpr Milliseconds TableReadInterval{1000};
+constexpr Milliseconds SweepInterval{200};
+/** Time by which the proof of a key must be younger than the bound of revocation. */
+constexpr Milliseconds RevocationMargin{700};
+constexpr Milliseconds NotReadyRetry{300};
+/** After a stop began, callers may still open connections until the balancer has noticed. */
+constexpr Milliseconds BalancerNotice{2500};
+/** The process ends by itself this long before it would be killed. */
+constexpr Milliseconds KillMargin{400};
+/** Gateways that share an endpoint's connections and the retry budget while their number isn't known. */
+constexpr double AssumedGateways = 8;
+/** Part of the fleet's retry budget that the gateways use. */
+constexpr double RetryBudgetUse = 0.7;
+
+asio::ip::tcp::endpoint listenAddress(const NetworkAddress &address)
+{
+    return {asio::ip::make_address_v4(address.ip), address.port};
+}
+
+TableMirrorOptions mirrorOptions()
+{
+    TableMirrorOptions options;
+    options.readInterval = TableReadInterval;
+    return options;
+}
+
+}
+
+PlatformGateway::PlatformGateway(
+    Platform::PlatformSettings settings, asio::io_context &context, const Log &log, Metrics &metrics, std::uint64_t incarnation)
+    : settings_(std::move(settings))
+    , events_(context)
+    , log_(log)
+    , metrics_(metrics)
+    , incarnation_(incarnation)
+    , client_(context.get_executor(), StoreConnectionAge)
+    , table_(client_, {"http://" + settings_.store.text(), StoreTimeout})
+    , configurationProof_(settings_.keyRevocation - RevocationMargin)
+    , directory_(EndpointDirectoryOptions{})
+    , placement_(PlacementOptions{}, loads_)
+    , pool_(context, EndpointPoolOptions{})
+    , forwarding_{context,
+                  log,
+                  metrics,
+                  pool_,
+                  directory_,
+                  loads_,
+                  placement_,
+                  settings_.dataCentre,
+                  {},
+                  RetryBudget(settings_.retryRatio * RetryBudgetUse, settings_.retryReserve * RetryBudgetUse / AssumedGateways),
+                  1 / AssumedGateways,
+                  [](const std::string &) {}}
+    , configurationMirror_(context,
+                           table_,
+                           log,
+                           Platform::OperatorTable,
+                           Platform::ConfigurationKey,
+                           std::string(Platform::ConfigurationKey) + '!',
+                           mirrorOptions(),
+                           {[this](const TableRows &rows, TimePoint startedAt) {
+                                if (const auto it = rows.find(Platform::ConfigurationKey); it != rows.end()) {
+                                    onConfiguration(it->second.value);
+                                    configurationProof_.proved(startedAt);
+                                }
+                            },
+                            [this](const TableChanges::Change &change) {
+                                if (change.value) {
+                                    onConfiguration(*change.value);
+                                }
+                            },
+                            [](bool) {}})
+    , endpointMirror_(context,
+                      table_,
+                      log,
+                      Platform::EndpointTable,
+                      "",
+                      "",
+                      mirrorOptions(),
+                      {[this](const TableRows &rows, TimePoint) { onEndpointRows(rows, suspendAwareNow()); },
+                       [this](const TableChanges::Change &change) { onEndpointChange(change); },
+                       [this](bool reachable) {
+                           if (reachable) {
+                               directory_.storeRegained(suspendAwareNow());
+                           } else {
+                               directory_.storeLost();
+                           }
+                       }})
+{
+}
+
+PlatformGateway::~PlatformGateway() = default;
+
+absl::Status PlatformGateway::start()
+{
+    if (!settings_.callerListen || !settings_.readinessListen) {
+        return absl::InvalidArgumentError("platform settings: a gateway needs addresses to listen on for callers and for readiness");
+    }
+    const auto limits = [this] { return catalogue_ ? catalogue_->limits() : CallerLimits{}; };
+    const auto noLimits = [] { return CallerLimits{}; };
+    const auto onStatus = [this](const std::shared_ptr<CallerExchange> &exchange) { onStatusRequest(exchange); };
+    try {
+        callers_ = std::make_unique<CallerServer>(
+            events_, listenAddress(*settings_.callerListen), limits, [this](const auto &exchange) { onRequest(exchange); });
+        readiness_ = std::make_unique<CallerServer>(events_, listenAddress(*settings_.readinessListen), noLimits, onStatus);
+        metricsServer_ = std::make_unique<CallerServer>(events_, listenAddress({settings_.ip, MetricsPort}), noLimits, onStatus);
+    } catch (const std::system_error &error) {
+        return absl::UnavailableError(std::string("can't listen: ") + error.what());
+    }
+    configurationMirror_.start();
+    endpointMirror_.start();
+    every(SweepInterval, [this](TimePoint now) {
+        callers_->sweep(now);
+        readiness_->sweep(now);
+        metricsServer_->sweep(now);
+        pool_.sweep(now);
+        dropEndedEndpoints(now);
+        checkStopped(now);
+    });
+    return absl::OkStatus();
+}
+
+void PlatformGateway::every(Milliseconds interval, std::function<void(TimePoint)> action)
+{
+    auto timer = std::make_unique<asio::steady_timer>(events_);
+    auto *raw = timer.get();
+    timers_.push_back(std::move(timer));
+    const auto arm = std::make_shared<std::function<void()>>();
+    *arm = [raw, interval, action = std::move(action), weak = std::weak_ptr(arm)] {
+        raw->expires_after(interval);
+        raw->async_wait([action, again = weak.lock()](const std::error_code &error) {
+            if (!error) {
+                action(suspendAwareNow());
+                (*again)();
+            }
+        });
+    };
+    (*arm)();
+}
+
+void PlatformGateway::onConfiguration(const std::string &value)
+{
+    auto data = Platform::decodeConfiguration(value);
+    if (!data.ok()) {
+        log_.error("configuration unreadable", {{"reason", std::string(data.status().message())}});
+        return;
+    }
+    // Versions only rise; what was read late must not take one back.
+    if (catalogue_ && data->version <= catalogue_->version()) {
+        return;
+    }
+    log_.info("configuration in force",
+              {{"version", std::to_string(data->version)},
+               {"before", catalogue_ ? std::to_string(catalogue_->version()) : "none"},
+               {"routes", std::to_string(data->routes.size())},
+               {"customers", std::to_string(data->customers.size())}});
+    catalogue_ = std::make_shared<const RouteCatalogue>(std::move(*data));
+}
+
+std::optional<EndpointRecord> PlatformGateway::decodeEndpoint(const std::string &id, const std::string &value)
+{
+    auto record = Platform::decodeEndpoint(id, value);
+    if (record.ok()) {
+        unreadableEntries_.erase(id);
+        return std::move(*record);
+    }
+    if (unreadableEntries_.insert(id).second) {
+        log_.warning("endpoint entry unreadable", {{"endpoint", id}, {"reason", std::string(record.status().message())}});
+    }
+    return std::nullopt;
+}
+
+void PlatformGateway::onEndpointRows(const TableRows &rows, TimePoint now)
+{
+    std::vector<EndpointRecord> records;
+    for (const auto &[id, row] : rows) {
+        if (auto record = decodeEndpoint(id, row.value)) {
+            records.push_back(std::move(*record));
+        }
+    }
+    directory_.replaceAll(records, now);
+    dropEndedEndpoints(now);
+}
+
+void PlatformGateway::onEndpointChange(const TableChanges::Change &change)
+{
+    const auto record = change.value ? decodeEndpoint(change.key, *change.value) : std::nullopt;
+    if (record) {
+        directory_.announced(*record);
+    } else {
+        directory_.vanished(change.key, suspendAwareNow());
+    }
+    dropEndedEndpoints(suspendAwareNow());
+}
+
+void PlatformGateway::dropEndedEndpoints(TimePoint now)
+{
+    for (const auto &record : directory_.takeEnded(now)) {
+        log_.info("endpoint gone", {{"endpoint", record.id}, {"service", record.service}});
+        pool_.drop(record);
+        loads_.forget(record.id);
+        placement_.forget(record.id);
+    }
+}
+
+void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
+{
+    Platform::CallerFacts facts = Platform::decodeRequest(exchange->head());
+    if (!catalogue_) {
+        refuse(exchange, facts, Unavailable, "no configuration yet", NotReadyRetry);
+        return;
+    }
+    admit(exchange, std::move(facts));
+}
+
+void PlatformGateway::admit(const std::shared_ptr<CallerExchange> &exchange, Platform::CallerFacts facts)
+{
+    const bool fresh = configurationProof_.isFresh(suspendAwareNow());
+    const HeaderField *host = findField(exchange->head().fields, "Host");
+    const Route *route = catalogue_->findRoute(host == nullptr ? "" : host->value, exchange->head().path());
+    if (route == nullptr) {
+        // What this process has may be too old to say that there is no such route.
+        refuse(exchange, facts, fresh ? NotFound : Unavailable, "no route", fresh ? std::nullopt : std::optional(NotReadyRetry));
+        return;
+    }
+    AdmittedRequest request;
+    if (catalogue_->needsKeys() && !route->anonymous) {
+        if (!fresh) {
+            refuse(exchange, facts, Unavailable, "keys not fresh", NotReadyRetry);
+            return;
+        }
+        const CustomerQuota *customer = catalogue_->customerOfKey(facts.key);
+        if (customer == nullptr) {
+            refuse(exchange, facts, Unauthorised, "unknown key");
+            return;
+        }
+        request.customer = customer->name;
+    }
+    request.catalogue = catalogue_;
+    request.route = route;
+    request.service = chooseService(*catalogue_, *route, facts.requestId);
+    if (request.service == nullptr) {
+        refuse(exchange, facts, Unavailable, "route without a service", NotReadyRetry);
+        return;
+    }
+    request.facts = std::move(facts);
+    std::make_shared<ForwardedRequest>(forwarding_, exchange, std::move(request))->start();
+}
+
+const RoutedService *PlatformGateway::chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const
+{
+    double total = 0;
+    for (const auto &part : route.services) {
+        total += part.weight;
+    }
+    constexpr double HashRange = 1 << 24;
+    double point = static_cast<double>(rendezvousHash(requestId + route.name) % static_cast<std::uint64_t>(HashRange)) / HashRange * total;
+    for (const auto &part : route.services) {
+        point -= part.weight;
+        if (point < 0) {
+            return catalogue.findService(part.service);
+        }
+    }
+    return catalogue.findService(route.services.front().service);
+}
+
+void PlatformGateway::refuse(const std::shared_ptr<CallerExchange> &exchange,
+                             const Platform::CallerFacts &facts,
+                             int status,
+                             std::string_view reason,
+                             std::optional<Milliseconds> retryAfter)
+{
+    const auto age = configurationProof_.age(suspendAwareNow());
+    exchange->answer(Platform::encodeOwnAnswer(status, facts.requestId, retryAfter), "");
+    metrics_.counter("refused_total{reason=\"" + std::string(reason) + "\"}").add();
+    log_.info("request refused",
+              {{"request", facts.requestId},
+               {"status", std::to_string(status)},
+               {"reason", std::string(reason)},
+               {"catalogueVersion", catalogue_ ? std::to_string(catalogue_->version()) : "none"},
+               {"proofAgeMs", age ? std::to_string(std::chrono::duration_cast<Milliseconds>(*age).count()) : "none"}});
+}
+
+bool PlatformGateway::isReady(TimePoint now) const
+{
+    return !stopping_ && catalogue_ && configurationProof_.isFresh(now);
+}
+
+void PlatformGateway::onStatusRequest(const std::shared_ptr<CallerExchange> &exchange)
+{
+    if (Platform::isReadinessQuestion(exchange->head())) {
+        const int status = isReady(suspendAwareNow()) ? Ok : Unavailable;
+        exchange->answer(Platform::encodeOwnAnswer(status, "", std::nullopt), "");
+        return;
+    }
+    if (exchange->head().path() == "/metrics") {
+        exchange->answer({Ok, std::string(reasonOf(Ok)), {{"Content-Type", "text/plain; version=0.0.4"}}}, metrics_.toPrometheusText());
+        return;
+    }
+    exchange->answer(Platform::encodeOwnAnswer(NotFound, "", std::nullopt), "");
+}
+
+void PlatformGateway::stop(std::function<void()> onStopped)
+{
+    log_.info("stopping", {{"connections", std::to_string(callers_->openConnections())}});
+    stopping_ = true;
+    stoppedAt_ = suspendAwareNow();
+    onStopped_ = std::move(onStopped);
+    callers_->announceClose();
+}
+
+void PlatformGateway::reload(const absl::StatusOr<Platform::PlatformSettings> &settings)
+{
+    if (!settings.ok()) {
+        log_.error("settings unreadable; the old ones stay in force", {{"reason", std::string(settings.status().message())}});
+        return;
+    }
+    const bool moved = settings->callerListen != settings_.callerListen || settings->store != settings_.store;
+    log_.info("settings read again", {{"needsRestart", moved ? "yes" : "no"}});
+}
+
+void PlatformGateway::checkStopped(TimePoint now)
+{
+    if (!stopping_ || !onStopped_) {
+        return;
+    }
+    const Duration since = now - stoppedAt_;
+    if (since < BalancerNotice) {
+        return;
+    }
+    callers_->closeIdle();
+    const bool drained = callers_->openConnections() == 0;
+    if (drained || since > settings_.stopGrace - KillMargin) {
+        log_.info("stopped", {{"connectionsLeft", std::to_string(callers_->openConnections())}});
+        std::exchange(onStopped_, nullptr)();
+    }
+}
+
+}
--- a/src/chestnutcove/requestrunner.cpp
+++ b/src/chestnutcove/requestrunner.cpp
@@ -1,5 +1,7 @@
 #include "requestrunner.h"
 
+#include "suspendclock.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -149,7 +151,7 @@
     request.expectedOutputTokens = active.caller.isChat ? active.query.outputTokens : 0;
     request.serviceClass = active.caller.serviceClass;
     request.deadline = active.flow->routeDeadline();
-    limits_->request(active.caller.customer->name, request, std::chrono::steady_clock::now());
+    limits_->request(active.caller.customer->name, request, suspendAwareNow());
 }
 
 void RequestRunner::admitted(const AdmissionResult &result)
@@ -197,7 +199,7 @@
 void RequestRunner::route(ActiveId id)
 {
     Active &active = *active_.at(id);
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     active.query.excluded = active.flow->excluded();
     const auto choice = router_.choose(active.query, now);
     const auto link = choice ? links_.linkOf(choice->endpoint) : std::nullopt;
@@ -277,7 +279,7 @@
 
 void RequestRunner::onMessage(const LinkKey &key, const wire::Envelope &message)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     ActiveId id = 0;
     switch (message.body_case()) {
     case wire::Envelope::kAccepted:
@@ -329,7 +331,7 @@
 
 void RequestRunner::onChunk(ActiveId id, Active &active, const wire::Chunk &chunk)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const FlowStep step = active.flow->chunk(chunk.sequence(), now);
     if (step.action != FlowAction::Wait) {
         take(id, step);
@@ -361,7 +363,7 @@
 
 void RequestRunner::onEnd(ActiveId id, Active &active, const wire::End &end)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const std::string endpoint = active.flow->endpoint();
     router_.report(endpoint, toEndpointLoad(end.load()), 0, now);
     active.promptTokens = std::max<std::uint64_t>(active.promptTokens, end.prompt_tokens());
@@ -462,7 +464,7 @@
         active.writer->sendWhole(active.answer.choices(), usageOf(active));
     }
     metrics_.counter("requests_served_total").add();
-    metrics_.distribution("request_seconds").add(toSeconds(std::chrono::steady_clock::now() - caller.arrival));
+    metrics_.distribution("request_seconds").add(toSeconds(suspendAwareNow() - caller.arrival));
     countUsage(active);
     remove(id);
 }
@@ -516,7 +518,7 @@
     const auto customer = active.caller.customer;
     active_.erase(it);
     if (customer) {
-        limits_->finished(customer->name, id, std::chrono::steady_clock::now());
+        limits_->finished(customer->name, id, suspendAwareNow());
     }
 }
 
@@ -563,7 +565,7 @@
 
 void RequestRunner::linkLost(const LinkKey &key)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     std::vector<ActiveId> affected;
     for (const auto &[attempt, id] : attempts_) {
         if (active_.at(id)->link == key) {
--- a/src/chestnutcove/sidecar.cpp
+++ b/src/chestnutcove/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "sidecar.h"
 
+#include "suspendclock.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -99,7 +101,7 @@
     log_.info("sidecar draining for its stop", {{"running", std::to_string(dispatcher_.running())}});
     onStopped_ = std::move(onStopped);
     dispatcher_.setDraining(true);
-    refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, std::chrono::steady_clock::now()));
+    refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, suspendAwareNow()));
 }
 
 void Sidecar::receive(const LinkServer::PeerId &peer, const wire::Envelope &message)
@@ -135,7 +137,7 @@
 
 void Sidecar::onSubmit(const LinkServer::PeerId &peer, const wire::Submit &submit)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const SubmittedRequest request = toSubmitted(submit);
     const SubmitDecision decision = dispatcher_.submit(request, now);
     if (decision.evicted) {
@@ -165,7 +167,7 @@
 {
     const RequestId id = fromWire(cancel.id());
     const Tick tick{cancel.sidecar_incarnation(), cancel.tick_us()};
-    const CancelResult result = dispatcher_.cancel(id, tick, std::chrono::steady_clock::now());
+    const CancelResult result = dispatcher_.cancel(id, tick, suspendAwareNow());
     wire::Envelope reply;
     auto *body = reply.mutable_cancel_reply();
     *body->mutable_id() = cancel.id();
@@ -193,7 +195,7 @@
 
 void Sidecar::onHeartbeat(const LinkServer::PeerId &peer, const wire::Heartbeat &heartbeat)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     gateways_[heartbeat.incarnation()] = Gateway{peer, heartbeat.gateway(), now};
     catalogueDrain_ = heartbeat.drain();
     wire::Envelope reply;
@@ -217,7 +219,7 @@
 void Sidecar::onOrder(const LinkServer::PeerId &peer, const wire::Order &order)
 {
     const FencedOrder fenced{order.order_id(), order.epoch(), {order.sidecar_incarnation(), order.tick_us()}};
-    const OrderVerdict verdict = orders_.check(fenced, std::chrono::steady_clock::now());
+    const OrderVerdict verdict = orders_.check(fenced, suspendAwareNow());
     log_.info("order received",
               {{"action", order.action()},
                {"argument", order.argument()},
@@ -228,8 +230,8 @@
         // What waits goes to other endpoints; what runs finishes first.
         pendingOrder_ = PendingOrder{peer, order};
         dispatcher_.setDraining(true);
-        refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, std::chrono::steady_clock::now()));
-        advanceOrder(std::chrono::steady_clock::now());
+        refuseAll(dispatcher_.refuseQueued(RefusalReason::Draining, suspendAwareNow()));
+        advanceOrder(suspendAwareNow());
         return;
     }
     wire::Envelope reply;
@@ -261,7 +263,7 @@
             return;
         }
         pendingOrder_->verifying = true;
-        pendingOrder_->verifyUntil = std::chrono::steady_clock::now() + VerifyTime;
+        pendingOrder_->verifyUntil = suspendAwareNow() + VerifyTime;
     });
 }
 
@@ -287,7 +289,7 @@
     if (pendingOrder_) {
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     while (const auto id = dispatcher_.dispatch(now)) {
         const auto it = requests_.find(*id);
         if (it == requests_.end()) {
@@ -301,7 +303,7 @@
 void Sidecar::call(const RequestId &id, Running &running)
 {
     running.dispatched = true;
-    running.dispatchedAt = std::chrono::steady_clock::now();
+    running.dispatchedAt = suspendAwareNow();
     EndpointCall call;
     call.method = running.submit.method();
     call.path = running.submit.path();
@@ -324,7 +326,7 @@
     }
     Running &running = it->second;
     if (running.outputTokens == 0) {
-        running.firstTokenAt = std::chrono::steady_clock::now();
+        running.firstTokenAt = suspendAwareNow();
     }
     for (const EndpointEvent &event : events) {
         running.outputTokens += event.tokens;
@@ -336,7 +338,7 @@
 void Sidecar::onResult(const RequestId &id, EndpointResult result)
 {
     const auto it = requests_.find(id);
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     if (it == requests_.end()) {
         dispatcher_.finished(id, 0, 0, now);
         dispatchReady();
@@ -421,7 +423,7 @@
     }
     fillLoad(*end->mutable_load());
     server_.send(running.peer, message);
-    metrics_.distribution("request_seconds").add(toSeconds(std::chrono::steady_clock::now() - running.dispatchedAt));
+    metrics_.distribution("request_seconds").add(toSeconds(suspendAwareNow() - running.dispatchedAt));
     requests_.erase(id);
 }
 
@@ -464,7 +466,7 @@
 
 void Sidecar::tick()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     refuseAll(dispatcher_.expire(now));
     checkGateways(now);
     advanceOrder(now);
@@ -523,7 +525,7 @@
             log_.warning(healthy ? "endpoint healthy" : "endpoint unhealthy", {{"endpoint", settings_.name}});
         }
         if (!healthy) {
-            refuseAll(dispatcher_.refuseQueued(RefusalReason::Unhealthy, std::chrono::steady_clock::now()));
+            refuseAll(dispatcher_.refuseQueued(RefusalReason::Unhealthy, suspendAwareNow()));
         } else if (settings_.kind == EndpointKind::Engine) {
             pollCache();
         }
@@ -584,7 +586,7 @@
 nlohmann::json Sidecar::dump() const
 {
     nlohmann::json gateways = nlohmann::json::array();
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     for (const auto &[incarnation, gateway] : gateways_) {
         gateways.push_back({{"name", gateway.name},
                             {"incarnation", incarnation},
--- /dev/null
+++ b/src/chestnutcove/tablemirror.h
@@ -0,0 +1,195 @@
+/**
+ * Keeps up with a table that others write. A long-polled feed tells of changes at once; a slow full read behind it finds what a silent feed
+ * missed, and proves how old the knowledge is.
+ */
+#pragma once
+
+#include "log.h"
+#include "suspendclock.h"
+#include "tableformat.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace Chestnutcove {
+
+struct TableMirrorOptions
+{
+    /** Time between two full reads. */
+    Milliseconds readInterval{1000};
+    /** Time between a failed read and the next. */
+    Milliseconds retryInterval{250};
+    /** How long the service may wait for a change before it answers. */
+    Milliseconds feedWait{10000};
+    /** Pause after a failed question for changes. */
+    Milliseconds feedRetry{500};
+};
+
+template<typename Table>
+class TableMirror
+{
+public:
+    struct Handlers
+    {
+        /** All rows as of one moment after @p startedAt. */
+        std::function<void(const TableRows &rows, TimePoint startedAt)> onRows;
+        std::function<void(const TableChanges::Change &)> onChange;
+        /** Reads fail, or are answered again. */
+        std::function<void(bool reachable)> onReachable;
+    };
+
+    /** @param from, @p to the range of keys; empty for the whole table. */
+    TableMirror(asio::io_context &context,
+                Table &table,
+                const Log &log,
+                std::string name,
+                std::string from,
+                std::string to,
+                TableMirrorOptions options,
+                Handlers handlers)
+        : table_(table)
+        , log_(log)
+        , name_(std::move(name))
+        , from_(std::move(from))
+        , to_(std::move(to))
+        , options_(options)
+        , handlers_(std::move(handlers))
+        , readTimer_(context)
+        , feedTimer_(context)
+    {
+    }
+
+    void start()
+    {
+        read();
+    }
+
+private:
+    void read()
+    {
+        if (std::exchange(reading_, true)) {
+            return;
+        }
+        const TimePoint startedAt = suspendAwareNow();
+        table_.page(name_, from_, to_, [this, startedAt](absl::StatusOr<TablePage> page) { onPage(std::move(page), startedAt); });
+    }
+
+    void onPage(absl::StatusOr<TablePage> page, TimePoint startedAt)
+    {
+        setReachable(page.ok(), page.ok() ? "" : std::string(page.status().message()));
+        if (!page.ok()) {
+            reading_ = false;
+            pages_.clear();
+            readLater(options_.retryInterval);
+            return;
+        }
+        if (pages_.empty()) {
+            firstPageVersion_ = page->version;
+            firstPageAt_ = startedAt;
+        }
+        pages_.merge(std::move(page->rows));
+        if (page->hasMore) {
+            const std::string next = pages_.rbegin()->first + '!';
+            table_.page(name_, next, to_, [this](absl::StatusOr<TablePage> more) { onPage(std::move(more), suspendAwareNow()); });
+            return;
+        }
+        const TableRows rows = std::exchange(pages_, {});
+        reading_ = false;
+        // An older read than what the feed already told must not take it back.
+        if (firstPageVersion_ >= version_) {
+            version_ = firstPageVersion_;
+            handlers_.onRows(rows, firstPageAt_);
+        }
+        if (!std::exchange(feeding_, true)) {
+            feed();
+        }
+        readLater(options_.readInterval);
+    }
+
+    void readLater(Milliseconds delay)
+    {
+        readTimer_.expires_after(delay);
+        readTimer_.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                read();
+            }
+        });
+    }
+
+    void feed()
+    {
+        table_.changes(name_, version_, options_.feedWait, freshFeed_, [this](const absl::StatusOr<TableChanges> &changes) {
+            freshFeed_ = !changes.ok();
+            if (absl::IsOutOfRange(changes.status())) {
+                log_.warning("feed lost its history", {{"table", name_}, {"version", std::to_string(version_)}});
+                read();
+            }
+            if (!changes.ok()) {
+                feedLater();
+                return;
+            }
+            apply(*changes);
+            feed();
+        });
+    }
+
+    void apply(const TableChanges &changes)
+    {
+        for (const auto &change : changes.changes) {
+            const bool inRange = change.key >= from_ && (to_.empty() || change.key < to_);
+            if (inRange && change.version > version_) {
+                handlers_.onChange(change);
+            }
+        }
+        version_ = std::max(version_, changes.version);
+    }
+
+    void feedLater()
+    {
+        feedTimer_.expires_after(options_.feedRetry);
+        feedTimer_.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                feed();
+            }
+        });
+    }
+
+    void setReachable(bool reachable, const std::string &reason)
+    {
+        if (std::exchange(reachable_, reachable) == reachable) {
+            return;
+        }
+        if (reachable) {
+            log_.info("table is readable", {{"table", name_}});
+        } else {
+            log_.warning("table can't be read", {{"table", name_}, {"reason", reason}});
+        }
+        handlers_.onReachable(reachable);
+    }
+
+    Table &table_;
+    const Log &log_;
+    std::string name_;
+    std::string from_;
+    std::string to_;
+    TableMirrorOptions options_;
+    Handlers handlers_;
+    asio::steady_timer readTimer_;
+    asio::steady_timer feedTimer_;
+    /** Rows of a read that takes several pages. */
+    TableRows pages_;
+    std::uint64_t firstPageVersion_ = 0;
+    TimePoint firstPageAt_{};
+    /** All changes up to this version were applied. */
+    std::uint64_t version_ = 0;
+    bool reading_ = false;
+    bool feeding_ = false;
+    bool freshFeed_ = false;
+    bool reachable_ = false;
+};
+
+}
--- a/src/chestnutcove/usagereporter.cpp
+++ b/src/chestnutcove/usagereporter.cpp
@@ -1,5 +1,7 @@
 #include "usagereporter.h"
 
+#include "suspendclock.h"
+
 #include <absl/strings/str_format.h>
 
 #include <utility>
@@ -280,7 +282,7 @@
 
 void UsageReporter::send(WindowNumber window, const std::string &figures)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = suspendAwareNow();
     const auto left = std::chrono::duration_cast<Milliseconds>(lease_.keeper().validUntil() - now);
     if (!lease_.keeper().mayAct(now) || left <= Milliseconds::zero()) {
         step_ = Step::Idle;
--- a/src/libplatform/tablewriter.h
+++ b/src/libplatform/tablewriter.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "suspendclock.h"
 #include "tableservice.h"
 #include "timepoint.h"
 
@@ -38,7 +39,7 @@
     void write(TableWrite write, CommitHandler onOutcome)
     {
         auto state = std::make_shared<State>(State{std::move(write), std::move(onOutcome), asio::steady_timer(executor_), {}, false});
-        state->deadline = std::chrono::steady_clock::now() + giveUpAfter_;
+        state->deadline = suspendAwareNow() + giveUpAfter_;
         send(state);
     }
 
@@ -108,7 +109,7 @@
 
     void retryLater(const StatePointer &state)
     {
-        if (std::chrono::steady_clock::now() >= state->deadline) {
+        if (suspendAwareNow() >= state->deadline) {
             state->onOutcome(CommitOutcome::Unknown);
             return;
         }
--- /dev/null
+++ b/src/libproxy/bufferedsocket.cpp
@@ -0,0 +1,211 @@
+#include "bufferedsocket.h"
+
+#include <asio/post.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr std::size_t ReadBufferBytes = 64 * 1024;
+/** Reads in a row on one connection before others get their turn. */
+constexpr int MaxReadsInARow = 4;
+constexpr int KeepAliveIdleSeconds = 2;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+/** Used by one event loop at a time. */
+std::array<char, ReadBufferBytes> &readBuffer()
+{
+    thread_local std::array<char, ReadBufferBytes> buffer;
+    return buffer;
+}
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    // A kernel without the option leaves the connection usable.
+    ::setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+}
+
+BufferedSocket::BufferedSocket(asio::ip::tcp::socket socket, std::chrono::milliseconds ackTimeout)
+    : socket_(std::move(socket))
+{
+    std::error_code ignored;
+    socket_.non_blocking(true, ignored);
+    const int descriptor = socket_.native_handle();
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ackTimeout.count()));
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+void BufferedSocket::start(Handlers handlers)
+{
+    handlers_ = std::move(handlers);
+    awaitReadable();
+}
+
+void BufferedSocket::pauseReading()
+{
+    readPaused_ = true;
+}
+
+void BufferedSocket::resumeReading()
+{
+    readPaused_ = false;
+    awaitReadable();
+}
+
+void BufferedSocket::awaitReadable()
+{
+    if (reading_ || readPaused_ || !open_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const std::error_code &error) {
+        self->reading_ = false;
+        if (!self->open_ || error == asio::error::operation_aborted) {
+            return;
+        }
+        self->readAvailable();
+    });
+}
+
+void BufferedSocket::readAvailable()
+{
+    auto &buffer = readBuffer();
+    for (int i = 0; i < MaxReadsInARow && open_ && !readPaused_; ++i) {
+        std::error_code error;
+        const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            break;
+        }
+        if (error) {
+            const auto onEnd = handlers_.onEnd;
+            onEnd(error == asio::error::eof ? ReadEnd::Closed : ReadEnd::Broken);
+            return;
+        }
+        handlers_.onBytes({buffer.data(), size});
+        if (size < buffer.size()) {
+            break;
+        }
+    }
+    awaitReadable();
+}
+
+void BufferedSocket::write(std::string_view bytes)
+{
+    if (!open_ || finishing_) {
+        return;
+    }
+    if (!output_.empty()) {
+        output_.append(bytes);
+        return;
+    }
+    std::error_code error;
+    std::size_t written = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        written = 0;
+    } else if (error) {
+        fail();
+        return;
+    }
+    output_.assign(bytes.substr(written));
+    if (!output_.empty()) {
+        awaitWritable();
+    }
+}
+
+void BufferedSocket::awaitWritable()
+{
+    if (writing_ || !open_) {
+        return;
+    }
+    writing_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const std::error_code &error) {
+        self->writing_ = false;
+        if (!self->open_ || error == asio::error::operation_aborted) {
+            return;
+        }
+        self->flush();
+    });
+}
+
+void BufferedSocket::flush()
+{
+    std::error_code error;
+    const std::size_t written = socket_.write_some(asio::buffer(output_), error);
+    if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        fail();
+        return;
+    }
+    output_.erase(0, error ? 0 : written);
+    if (!output_.empty()) {
+        awaitWritable();
+        return;
+    }
+    if (finishing_) {
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    }
+    if (handlers_.onDrained) {
+        const auto onDrained = handlers_.onDrained;
+        onDrained();
+    }
+}
+
+void BufferedSocket::finishWriting()
+{
+    if (!open_ || finishing_) {
+        return;
+    }
+    finishing_ = true;
+    if (output_.empty()) {
+        std::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+}
+
+void BufferedSocket::fail()
+{
+    // The reader reports the end, so that callers of write() are not re-entered.
+    output_.clear();
+    finishing_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->open_ && self->handlers_.onEnd) {
+            const auto onEnd = self->handlers_.onEnd;
+            onEnd(ReadEnd::Broken);
+        }
+    });
+}
+
+void BufferedSocket::close()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    std::error_code ignored;
+    socket_.close(ignored);
+    // Handlers may hold the owner; they are released once no handler is on the stack.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
+}
+
+void BufferedSocket::reset()
+{
+    if (open_) {
+        std::error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    close();
+}
+
+}
--- /dev/null
+++ b/src/libproxy/callerconnection.cpp
@@ -0,0 +1,223 @@
+#include "callerconnection.h"
+
+#include "suspendclock.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+/** Bytes of further requests that are kept while one is answered; beyond that the kernel keeps them. */
+constexpr std::size_t MaxWaitingInput = 64 * 1024;
+/** How long a caller may take to close after we did. */
+constexpr Milliseconds CloseWait{2000};
+
+constexpr int BadRequest = 400;
+constexpr int RequestTimeout = 408;
+constexpr int BodyTooLarge = 413;
+constexpr int HeadTooLarge = 431;
+
+}
+
+CallerConnection::CallerConnection(std::shared_ptr<BufferedSocket> socket, std::shared_ptr<CallerServer::Shared> shared)
+    : socket_(std::move(socket))
+    , shared_(std::move(shared))
+    , parser_(MessageParser::Type::Request, {nullptr, [this](std::string_view bytes) { body_.append(bytes); }})
+    , since_(suspendAwareNow())
+{
+}
+
+void CallerConnection::start()
+{
+    BufferedSocket::Handlers handlers;
+    handlers.onBytes = [self = shared_from_this()](std::string_view bytes) { self->onBytes(bytes); };
+    handlers.onEnd = [self = shared_from_this()](ReadEnd end) { self->onEnd(end); };
+    handlers.onDrained = [self = shared_from_this()] {
+        if (self->exchange_ && self->exchange_->drainedHandler_) {
+            self->exchange_->drainedHandler_();
+        }
+    };
+    socket_->start(std::move(handlers));
+}
+
+bool CallerConnection::isIdle() const
+{
+    return phase_ == Phase::Idle && input_.empty();
+}
+
+bool CallerConnection::endsAfterAnswer() const
+{
+    return !keepAlive_ || shared_->closeAfterAnswer;
+}
+
+bool CallerConnection::isHeadRequest() const
+{
+    return headRequest_;
+}
+
+void CallerConnection::onBytes(std::string_view bytes)
+{
+    if (phase_ == Phase::Closing) {
+        return;
+    }
+    input_.append(bytes);
+    if (phase_ == Phase::Answering) {
+        if (input_.size() > MaxWaitingInput) {
+            socket_->pauseReading();
+        }
+        return;
+    }
+    readRequest();
+}
+
+void CallerConnection::onEnd(ReadEnd)
+{
+    if (exchange_) {
+        const auto exchange = std::exchange(exchange_, nullptr);
+        exchange->callerGone();
+    }
+    closeNow();
+}
+
+void CallerConnection::readRequest()
+{
+    const TimePoint now = suspendAwareNow();
+    if (phase_ == Phase::Idle) {
+        if (input_.empty()) {
+            return;
+        }
+        phase_ = Phase::Reading;
+        since_ = now;
+        arrivedAt_ = now;
+    }
+    const CallerLimits limits = shared_->limits();
+    const std::size_t used = parser_.feed(input_);
+    input_.erase(0, used);
+    if (parser_.state() == MessageParser::State::Failed) {
+        refuse(BadRequest);
+        return;
+    }
+    if (limits.headerBytes > 0 && parser_.state() == MessageParser::State::Head && parser_.headBytes() > limits.headerBytes) {
+        refuse(HeadTooLarge);
+        return;
+    }
+    if (parser_.state() == MessageParser::State::Head) {
+        return;
+    }
+    if (limits.bodyBytes > 0 && (parser_.contentLength().value_or(0) > limits.bodyBytes || body_.size() > limits.bodyBytes)) {
+        refuse(BodyTooLarge);
+        return;
+    }
+    if (parser_.state() == MessageParser::State::Complete) {
+        dispatch();
+        return;
+    }
+    since_ = now;
+    if (!continueSent_ && hasToken(parser_.request().fields, "expect", "100-continue")) {
+        continueSent_ = true;
+        socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void CallerConnection::dispatch()
+{
+    phase_ = Phase::Answering;
+    keepAlive_ = parser_.keepsAlive();
+    headRequest_ = parser_.request().method == "HEAD";
+    exchange_ = std::make_shared<CallerExchange>(shared_from_this(), parser_.request(), std::move(body_), arrivedAt_);
+    body_.clear();
+    shared_->onRequest(exchange_);
+}
+
+void CallerConnection::refuse(int status)
+{
+    ResponseHead head{status, std::string(reasonOf(status)), {{"Content-Length", "0"}, {"Connection", "close"}}};
+    socket_->write(serialise(head));
+    closePolitely();
+}
+
+void CallerConnection::answered()
+{
+    exchange_.reset();
+    if (endsAfterAnswer()) {
+        closePolitely();
+        return;
+    }
+    parser_.restart();
+    continueSent_ = false;
+    phase_ = Phase::Idle;
+    since_ = suspendAwareNow();
+    socket_->resumeReading();
+    if (!input_.empty()) {
+        // Not from here: the answer to the next request must not be written inside the call that ended this one.
+        asio::post(shared_->executor, [self = shared_from_this()] {
+            if (self->phase_ == Phase::Idle) {
+                self->readRequest();
+            }
+        });
+    }
+}
+
+void CallerConnection::abort()
+{
+    exchange_.reset();
+    socket_->reset();
+    shared_->connections.erase(shared_from_this());
+}
+
+void CallerConnection::closePolitely()
+{
+    phase_ = Phase::Closing;
+    since_ = suspendAwareNow();
+    input_.clear();
+    socket_->finishWriting();
+    socket_->resumeReading();
+}
+
+void CallerConnection::closeNow()
+{
+    const auto self = shared_from_this();
+    phase_ = Phase::Closing;
+    socket_->close();
+    shared_->connections.erase(self);
+}
+
+void CallerConnection::sweep(TimePoint now)
+{
+    const CallerLimits limits = shared_->limits();
+    const Duration age = now - since_;
+    switch (phase_) {
+    case Phase::Idle:
+        if (limits.idleTimeout.count() > 0 && age > limits.idleTimeout) {
+            closePolitely();
+        }
+        break;
+    case Phase::Reading:
+        if (limits.headerTimeout.count() > 0 && age > limits.headerTimeout) {
+            refuse(RequestTimeout);
+        }
+        break;
+    case Phase::Closing:
+        if (age > CloseWait) {
+            closeNow();
+        }
+        break;
+    case Phase::Answering:
+        break;
+    }
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    socket_->write(bytes);
+}
+
+std::size_t CallerConnection::pendingBytes() const
+{
+    return socket_->pendingBytes();
+}
+
+}
--- /dev/null
+++ b/src/libproxy/callerserver.cpp
@@ -0,0 +1,210 @@
+#include "callerserver.h"
+
+#include "callerconnection.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace Chestnutcove {
+
+namespace {
+
+/** Sent bytes that a caller doesn't acknowledge for this long mean that it is gone. */
+constexpr Milliseconds CallerAckTimeout{5000};
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+
+}
+
+CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection, RequestHead head, std::string body, TimePoint arrivedAt)
+    : connection_(std::move(connection))
+    , head_(std::move(head))
+    , body_(std::move(body))
+    , arrivedAt_(arrivedAt)
+{
+}
+
+void CallerExchange::onCallerGone(std::function<void()> handler)
+{
+    goneHandler_ = std::move(handler);
+}
+
+void CallerExchange::onDrained(std::function<void()> handler)
+{
+    drainedHandler_ = std::move(handler);
+}
+
+void CallerExchange::answer(ResponseHead head, std::string_view body)
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    begun_ = true;
+    const bool withoutBody = head.status == NoContent || head.status == NotModified;
+    if (!withoutBody) {
+        head.fields.push_back({"Content-Length", std::to_string(body.size())});
+    }
+    if (connection_->endsAfterAnswer()) {
+        head.fields.push_back({"Connection", "close"});
+    }
+    std::string text = serialise(head);
+    if (!withoutBody && !connection_->isHeadRequest()) {
+        text.append(body);
+    }
+    connection_->write(text);
+    std::exchange(connection_, nullptr)->answered();
+}
+
+void CallerExchange::begin(ResponseHead head, std::optional<std::uint64_t> length)
+{
+    if (!open_ || begun_) {
+        return;
+    }
+    begun_ = true;
+    chunked_ = !length;
+    if (length) {
+        head.fields.push_back({"Content-Length", std::to_string(*length)});
+    } else {
+        head.fields.push_back({"Transfer-Encoding", "chunked"});
+    }
+    if (connection_->endsAfterAnswer()) {
+        head.fields.push_back({"Connection", "close"});
+    }
+    connection_->write(serialise(head));
+}
+
+void CallerExchange::send(std::string_view bytes)
+{
+    if (!open_ || bytes.empty()) {
+        return;
+    }
+    if (!chunked_) {
+        connection_->write(bytes);
+        return;
+    }
+    std::array<char, 2 * sizeof(std::size_t)> digits;
+    constexpr int Hexadecimal = 16;
+    const auto end = std::to_chars(digits.begin(), digits.end(), bytes.size(), Hexadecimal).ptr;
+    std::string chunk(digits.begin(), end);
+    chunk += "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    connection_->write(chunk);
+}
+
+void CallerExchange::end()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    if (chunked_) {
+        connection_->write("0\r\n\r\n");
+    }
+    std::exchange(connection_, nullptr)->answered();
+}
+
+void CallerExchange::abort()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    std::exchange(connection_, nullptr)->abort();
+}
+
+std::size_t CallerExchange::pendingBytes() const
+{
+    return connection_ ? connection_->pendingBytes() : 0;
+}
+
+void CallerExchange::callerGone()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    connection_.reset();
+    if (const auto handler = std::exchange(goneHandler_, nullptr)) {
+        handler();
+    }
+}
+
+CallerServer::CallerServer(asio::io_context &context, const asio::ip::tcp::endpoint &listen, LimitsReader limits, RequestHandler onRequest)
+    : shared_(std::make_shared<Shared>(Shared{context.get_executor(), std::move(limits), std::move(onRequest), {}, false}))
+    , acceptor_(context)
+{
+    acceptor_.open(listen.protocol());
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(listen);
+    acceptor_.listen();
+    acceptor_.non_blocking(true);
+    accept();
+}
+
+CallerServer::~CallerServer()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> connections(shared_->connections.begin(), shared_->connections.end());
+    for (const auto &connection : connections) {
+        connection->closeNow();
+    }
+}
+
+std::uint16_t CallerServer::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+void CallerServer::accept()
+{
+    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            auto buffered = std::make_shared<BufferedSocket>(std::move(socket), CallerAckTimeout);
+            auto connection = std::make_shared<CallerConnection>(std::move(buffered), shared_);
+            shared_->connections.insert(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void CallerServer::announceClose()
+{
+    shared_->closeAfterAnswer = true;
+}
+
+void CallerServer::closeIdle()
+{
+    for (const auto &connection : shared_->connections) {
+        if (connection->isIdle()) {
+            connection->closePolitely();
+        }
+    }
+}
+
+void CallerServer::stopAccepting()
+{
+    std::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+std::size_t CallerServer::openConnections() const
+{
+    return shared_->connections.size();
+}
+
+void CallerServer::sweep(TimePoint now)
+{
+    const std::vector<std::shared_ptr<CallerConnection>> connections(shared_->connections.begin(), shared_->connections.end());
+    for (const auto &connection : connections) {
+        connection->sweep(now);
+    }
+}
+
+}
--- /dev/null
+++ b/src/libproxy/messageparser.cpp
@@ -0,0 +1,172 @@
+#include "messageparser.h"
+
+#include <limits>
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr int SkipBody = 1;
+constexpr int FirstFinalStatus = 200;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+/** http_parser's own limit is lifted: callers of this class count headBytes(). */
+constexpr std::uint32_t MaxHeadBytes = 1 << 20;
+
+}
+
+MessageParser::MessageParser(Type type, Handlers handlers)
+    : type_(type)
+    , handlers_(std::move(handlers))
+{
+    http_parser_set_max_header_size(MaxHeadBytes);
+    restart();
+}
+
+void MessageParser::restart(bool withoutBody)
+{
+    http_parser_init(&parser_, type_ == Type::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    state_ = State::Head;
+    request_ = {};
+    response_ = {};
+    headBytes_ = 0;
+    withoutBody_ = withoutBody;
+    lastWasValue_ = false;
+    delimited_ = true;
+    keepsAlive_ = false;
+    contentLength_.reset();
+}
+
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    if (state_ == State::Complete || state_ == State::Failed || bytes.empty()) {
+        return 0;
+    }
+    const bool inHead = state_ == State::Head;
+    const std::size_t used = http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
+    if (inHead) {
+        headBytes_ += used;
+    }
+    const auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (error != HPE_OK && error != HPE_PAUSED && state_ != State::Complete) {
+        state_ = State::Failed;
+    }
+    return used;
+}
+
+void MessageParser::feedEnd()
+{
+    if (state_ == State::Complete || state_ == State::Failed) {
+        return;
+    }
+    http_parser_execute(&parser_, &settings(), nullptr, 0);
+    if (state_ != State::Complete) {
+        state_ = State::Failed;
+    }
+}
+
+MessageParser &MessageParser::self(http_parser *parser)
+{
+    return *static_cast<MessageParser *>(parser->data);
+}
+
+HeaderFields &MessageParser::fields()
+{
+    return type_ == Type::Request ? request_.fields : response_.fields;
+}
+
+int MessageParser::onUrl(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser).request_.target.append(data, size);
+    return 0;
+}
+
+int MessageParser::onStatus(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser).response_.reason.append(data, size);
+    return 0;
+}
+
+int MessageParser::onField(http_parser *parser, const char *data, std::size_t size)
+{
+    MessageParser &message = self(parser);
+    // Fields after the body are trailers; they are not passed on.
+    if (message.state_ != State::Head) {
+        return 0;
+    }
+    HeaderFields &fields = message.fields();
+    if (fields.empty() || message.lastWasValue_) {
+        fields.emplace_back();
+        message.lastWasValue_ = false;
+    }
+    fields.back().name.append(data, size);
+    return 0;
+}
+
+int MessageParser::onValue(http_parser *parser, const char *data, std::size_t size)
+{
+    MessageParser &message = self(parser);
+    if (message.state_ != State::Head) {
+        return 0;
+    }
+    message.fields().back().value.append(data, size);
+    message.lastWasValue_ = true;
+    return 0;
+}
+
+int MessageParser::onHeadComplete(http_parser *parser)
+{
+    MessageParser &message = self(parser);
+    if (message.type_ == Type::Request) {
+        message.request_.method = http_method_str(static_cast<http_method>(parser->method));
+    } else {
+        message.response_.status = static_cast<int>(parser->status_code);
+    }
+    message.state_ = State::Body;
+    const bool chunked = (parser->flags & F_CHUNKED) != 0;
+    const bool hasLength = parser->content_length != std::numeric_limits<std::uint64_t>::max();
+    if (!chunked && hasLength) {
+        message.contentLength_ = parser->content_length;
+    }
+    const int status = message.response_.status;
+    const bool neverHasBody = status < FirstFinalStatus || status == NoContent || status == NotModified;
+    message.delimited_ = message.type_ == Type::Request || message.withoutBody_ || neverHasBody || chunked || hasLength;
+    message.keepsAlive_ = message.delimited_ && http_should_keep_alive(parser) != 0;
+    if (message.handlers_.onHead) {
+        message.handlers_.onHead();
+    }
+    return message.withoutBody_ ? SkipBody : 0;
+}
+
+int MessageParser::onBodyData(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser).handlers_.onBody({data, size});
+    return 0;
+}
+
+int MessageParser::onComplete(http_parser *parser)
+{
+    self(parser).state_ = State::Complete;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+const http_parser_settings &MessageParser::settings()
+{
+    static const http_parser_settings Settings = [] {
+        http_parser_settings settings{};
+        settings.on_url = onUrl;
+        settings.on_status = onStatus;
+        settings.on_header_field = onField;
+        settings.on_header_value = onValue;
+        settings.on_headers_complete = onHeadComplete;
+        settings.on_body = onBodyData;
+        settings.on_message_complete = onComplete;
+        return settings;
+    }();
+    return Settings;
+}
+
+}
--- /dev/null
+++ b/src/libproxy/messageparser.h
@@ -0,0 +1,133 @@
+/**
+ * Incremental parser of HTTP/1.1 messages, a thin layer over http_parser. It stops after each message, so that what follows on the
+ * connection stays with the caller.
+ */
+#pragma once
+
+#include "message.h"
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace Chestnutcove {
+
+class MessageParser
+{
+public:
+    enum class Type {
+        Request,
+        Response,
+    };
+
+    enum class State {
+        Head,
+        Body,
+        /** The message is complete; restart() begins the next. */
+        Complete,
+        Failed,
+    };
+
+    struct Handlers
+    {
+        /** The head is complete; called before any byte of the body. May be empty. */
+        std::function<void()> onHead;
+        std::function<void(std::string_view)> onBody;
+    };
+
+    MessageParser(Type type, Handlers handlers);
+    MessageParser(const MessageParser &) = delete;
+    MessageParser &operator=(const MessageParser &) = delete;
+
+    /** Begins the next message. @param withoutBody the message has no body whatever its fields say, as an answer to HEAD. */
+    void restart(bool withoutBody = false);
+    /** @return the number of bytes that belong to this message. */
+    std::size_t feed(std::string_view bytes);
+    /** The other side ended the connection in an orderly way. */
+    void feedEnd();
+
+    State state() const;
+    /** Set once the state is past Head. */
+    const RequestHead &request() const;
+    const ResponseHead &response() const;
+    /** The message has a stated length or is sent in chunks; otherwise its end is the connection's. */
+    bool isDelimited() const;
+    /** The body's stated length, or nothing. */
+    std::optional<std::uint64_t> contentLength() const;
+    bool keepsAlive() const;
+    /** Bytes of the head so far. */
+    std::size_t headBytes() const;
+    /** Some byte of the message was seen. */
+    bool hasStarted() const;
+
+private:
+    static MessageParser &self(http_parser *parser);
+    static int onUrl(http_parser *parser, const char *data, std::size_t size);
+    static int onStatus(http_parser *parser, const char *data, std::size_t size);
+    static int onField(http_parser *parser, const char *data, std::size_t size);
+    static int onValue(http_parser *parser, const char *data, std::size_t size);
+    static int onHeadComplete(http_parser *parser);
+    static int onBodyData(http_parser *parser, const char *data, std::size_t size);
+    static int onComplete(http_parser *parser);
+    static const http_parser_settings &settings();
+
+    HeaderFields &fields();
+
+    Type type_;
+    Handlers handlers_;
+    http_parser parser_{};
+    State state_ = State::Head;
+    RequestHead request_;
+    ResponseHead response_;
+    std::size_t headBytes_ = 0;
+    bool withoutBody_ = false;
+    bool lastWasValue_ = false;
+    bool delimited_ = true;
+    bool keepsAlive_ = false;
+    std::optional<std::uint64_t> contentLength_;
+};
+
+inline MessageParser::State MessageParser::state() const
+{
+    return state_;
+}
+
+inline const RequestHead &MessageParser::request() const
+{
+    return request_;
+}
+
+inline const ResponseHead &MessageParser::response() const
+{
+    return response_;
+}
+
+inline bool MessageParser::isDelimited() const
+{
+    return delimited_;
+}
+
+inline std::optional<std::uint64_t> MessageParser::contentLength() const
+{
+    return contentLength_;
+}
+
+inline bool MessageParser::keepsAlive() const
+{
+    return keepsAlive_;
+}
+
+inline std::size_t MessageParser::headBytes() const
+{
+    return headBytes_;
+}
+
+inline bool MessageParser::hasStarted() const
+{
+    return headBytes_ > 0;
+}
+
+}
--- /dev/null
+++ b/src/libserving/attemptpolicy.cpp
@@ -0,0 +1,38 @@
+#include "attemptpolicy.h"
+
+namespace Chestnutcove {
+
+AttemptPolicy::AttemptPolicy(bool mayRepeat, unsigned maxAttempts)
+    : mayRepeat_(mayRepeat)
+    , maxAttempts_(maxAttempts)
+{
+}
+
+void AttemptPolicy::attemptStarted()
+{
+    ++attempts_;
+    inProgress_ = true;
+}
+
+bool AttemptPolicy::mayTryAgain(AttemptOutcome outcome) const
+{
+    if (attempts_ >= maxAttempts_) {
+        return false;
+    }
+    return mayRepeat_ || (outcome == AttemptOutcome::NotRun && !mayHaveRun_);
+}
+
+NextStep AttemptPolicy::finalStep(AttemptOutcome outcome) const
+{
+    if (outcome == AttemptOutcome::Failed) {
+        return NextStep::Relay;
+    }
+    return mayHaveRun_ ? NextStep::ReportFailure : NextStep::RefuseNotRun;
+}
+
+NextStep AttemptPolicy::giveUp() const
+{
+    return mayHaveRun() ? NextStep::ReportFailure : NextStep::RefuseNotRun;
+}
+
+}
--- /dev/null
+++ b/src/libserving/endpointloads.cpp
@@ -0,0 +1,88 @@
+#include "endpointloads.h"
+
+#include <algorithm>
+
+namespace Chestnutcove {
+
+namespace {
+
+/** Weight of the newest call in the smoothed failure rate. */
+constexpr double FailureWeight = 0.1;
+/** Calls without an answer in a row after which an endpoint is avoided. */
+constexpr unsigned SilentBeforeAvoiding = 2;
+constexpr Milliseconds FirstAvoidance{500};
+constexpr Milliseconds LongestAvoidance{4000};
+/** An observed wait counts less and less, and no more after this time. */
+constexpr Milliseconds WaitMemory{300};
+
+}
+
+void EndpointLoads::callStarted(const std::string &endpoint, std::uint64_t promptTokens)
+{
+    Load &load = loads_[endpoint];
+    ++load.calls;
+    load.promptTokens += promptTokens;
+}
+
+void EndpointLoads::callEnded(const std::string &endpoint, std::uint64_t promptTokens, AttemptOutcome outcome, TimePoint now)
+{
+    const auto it = loads_.find(endpoint);
+    if (it == loads_.end()) {
+        return;
+    }
+    Load &load = it->second;
+    load.calls -= std::min(load.calls, 1U);
+    load.promptTokens -= std::min(load.promptTokens, promptTokens);
+    const bool silent = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NoAnswer;
+    const bool failed = silent || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Failed;
+    load.failureRate += FailureWeight * ((failed ? 1 : 0) - load.failureRate);
+    load.silentInARow = silent ? load.silentInARow + 1 : 0;
+    if (load.silentInARow >= SilentBeforeAvoiding) {
+        const unsigned doublings = std::min(load.silentInARow - SilentBeforeAvoiding, 3U);
+        load.avoidUntil = now + std::min(FirstAvoidance * (1U << doublings), LongestAvoidance);
+    }
+}
+
+void EndpointLoads::loadReported(const std::string &endpoint, const ReportedLoad &load, TimePoint now)
+{
+    Load &known = loads_[endpoint];
+    known.reported = load;
+    known.reportedAt = now;
+}
+
+void EndpointLoads::waitObserved(const std::string &endpoint, Duration wait, TimePoint now)
+{
+    Load &load = loads_[endpoint];
+    load.lastWait = std::max(wait, Duration::zero());
+    load.lastWaitAt = now;
+}
+
+void EndpointLoads::forget(const std::string &endpoint)
+{
+    loads_.erase(endpoint);
+}
+
+const EndpointLoads::Load &EndpointLoads::of(const std::string &endpoint) const
+{
+    static const Load Nothing;
+    const auto it = loads_.find(endpoint);
+    return it == loads_.end() ? Nothing : it->second;
+}
+
+bool EndpointLoads::isAvoided(const std::string &endpoint, TimePoint now) const
+{
+    return now < of(endpoint).avoidUntil;
+}
+
+Duration EndpointLoads::observedWait(const std::string &endpoint, TimePoint now) const
+{
+    const Load &load = of(endpoint);
+    const Duration age = now - load.lastWaitAt;
+    if (age >= WaitMemory) {
+        return Duration::zero();
+    }
+    const double weight = 1 - toSeconds(age) / toSeconds(WaitMemory);
+    return fromSeconds(toSeconds(load.lastWait) * weight);
+}
+
+}
--- /dev/null
+++ b/src/libserving/endpointloads.h
@@ -0,0 +1,61 @@
+/**
+ * What one gateway knows of each endpoint's load and health: its own calls in progress, what answers told, and recent failures.
+ */
+#pragma once
+
+#include "attemptpolicy.h"
+#include "endpointrecord.h"
+#include "timepoint.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace Chestnutcove {
+
+/** The kinds of work that a call gives to an endpoint. */
+enum class CallWork {
+    /** The whole request, or the part after its prompt was read elsewhere. */
+    Run,
+    /** Only the prompt is read. */
+    Prefill,
+};
+
+class EndpointLoads
+{
+public:
+    struct Load
+    {
+        /** Calls of this gateway in progress. */
+        unsigned calls = 0;
+        /** Prompt tokens of those calls that the endpoint has to read. */
+        std::uint64_t promptTokens = 0;
+        ReportedLoad reported;
+        /** Meaningful once something was reported. */
+        TimePoint reportedAt{};
+        /** Time that the last prompt waited for its turn. */
+        Duration lastWait{};
+        TimePoint lastWaitAt{};
+        /** Smoothed share of calls that failed, 0 to 1. */
+        double failureRate = 0;
+        unsigned silentInARow = 0;
+        /** Other endpoints are preferred until then. */
+        TimePoint avoidUntil{};
+    };
+
+    void callStarted(const std::string &endpoint, std::uint64_t promptTokens);
+    void callEnded(const std::string &endpoint, std::uint64_t promptTokens, AttemptOutcome outcome, TimePoint now);
+    void loadReported(const std::string &endpoint, const ReportedLoad &load, TimePoint now);
+    void waitObserved(const std::string &endpoint, Duration wait, TimePoint now);
+    void forget(const std::string &endpoint);
+
+    const Load &of(const std::string &endpoint) const;
+    bool isAvoided(const std::string &endpoint, TimePoint now) const;
+    /** Expected wait of a prompt at the endpoint from what was seen lately, beside this gateway's own calls. */
+    Duration observedWait(const std::string &endpoint, TimePoint now) const;
+
+private:
+    std::unordered_map<std::string, Load> loads_;
+};
+
+}
--- /dev/null
+++ b/src/libserving/placement.cpp
@@ -0,0 +1,172 @@
+#include "placement.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Chestnutcove {
+
+namespace {
+
+/** Age past which a reported load says nothing. */
+constexpr Milliseconds ReportLifetime{1000};
+
+/** The part that names the session: the last one that other requests may share. */
+const std::string &sessionOf(const std::vector<PromptPart> &parts)
+{
+    return parts.size() > 1 ? parts[parts.size() - 2].id : parts.front().id;
+}
+
+}
+
+PlacementPolicy::PlacementPolicy(PlacementOptions options, const EndpointLoads &loads)
+    : options_(options)
+    , loads_(loads)
+{
+}
+
+Placement PlacementPolicy::place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
+{
+    if (!query.parts.empty() && query.promptTokens >= options_.wholePromptTokens) {
+        Placement placement = placePrompt(query, endpoints, now);
+        if (placement.verdict != Placement::Verdict::NoEndpoint) {
+            return placement;
+        }
+    }
+    Placement placement;
+    placement.run = placeDecode(query, endpoints, std::nullopt, now);
+    placement.verdict = placement.run ? Placement::Verdict::Placed : Placement::Verdict::NoEndpoint;
+    return placement;
+}
+
+Placement PlacementPolicy::placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
+{
+    const auto engines = candidates(query, endpoints, EngineStage::Prefill, now);
+    Placement best;
+    if (engines.empty()) {
+        return best;
+    }
+    std::vector<std::string> ids;
+    ids.reserve(engines.size());
+    for (const auto &engine : engines) {
+        ids.push_back(engine.id);
+    }
+    const auto order = rendezvous(sessionOf(query.parts), ids, ids.size());
+    Duration bestTime = Duration::max();
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto &each) { return each.id == order[rank]; });
+        const std::uint64_t tokens = tokensToRead(query, engine->id, rank == 0);
+        const Duration wait = expectedWait(*engine, now);
+        const Duration reading = fromSeconds(static_cast<double>(tokens) / options_.prefillTokensPerMs / 1000);
+        const Duration time = wait + reading + options_.rankPenalty * static_cast<int>(rank);
+        if (time < bestTime) {
+            bestTime = time;
+            best.prefill = *engine;
+            best.tokensToRead = tokens;
+            best.expectedWait = wait;
+        }
+    }
+    const bool tooLate = toSeconds(best.expectedWait) > toSeconds(query.targetLatency) * options_.maxWaitShare;
+    best.verdict = tooLate ? Placement::Verdict::Overloaded : Placement::Verdict::Placed;
+    return best;
+}
+
+std::optional<EndpointRecord> PlacementPolicy::placeDecode(const PlacementQuery &query,
+                                                           const std::vector<EndpointRecord> &endpoints,
+                                                           const std::optional<EndpointRecord> &prefill,
+                                                           TimePoint now) const
+{
+    auto engines = candidates(query, endpoints, EngineStage::Decode, now);
+    const std::string &dataCentre = prefill ? prefill->dataCentre : query.dataCentre;
+    std::optional<EndpointRecord> best;
+    double bestUse = std::numeric_limits<double>::max();
+    for (const auto &engine : engines) {
+        const double engineUse = use(engine, dataCentre, now);
+        if (engineUse < bestUse) {
+            bestUse = engineUse;
+            best = engine;
+        }
+    }
+    return best;
+}
+
+std::vector<EndpointRecord> PlacementPolicy::candidates(const PlacementQuery &query,
+                                                        const std::vector<EndpointRecord> &endpoints,
+                                                        std::optional<EngineStage> stage,
+                                                        TimePoint now) const
+{
+    std::vector<EndpointRecord> preferred;
+    std::vector<EndpointRecord> avoided;
+    for (const auto &endpoint : endpoints) {
+        const bool fits = !endpoint.stage || endpoint.stage == stage;
+        if (!fits || query.excluded.contains(endpoint.id)) {
+            continue;
+        }
+        (loads_.isAvoided(endpoint.id, now) ? avoided : preferred).push_back(endpoint);
+    }
+    return preferred.empty() ? avoided : preferred;
+}
+
+std::uint64_t PlacementPolicy::tokensToRead(const PlacementQuery &query, const std::string &endpoint, bool assumeSession) const
+{
+    std::uint64_t kept = 0;
+    std::uint64_t all = 0;
+    bool prefixKept = true;
+    for (std::size_t i = 0; i < query.parts.size(); ++i) {
+        const bool shared = i + 1 < query.parts.size();
+        // A part helps only where all parts before it are kept too.
+        prefixKept = prefixKept && shared && (assumeSession || remembers(endpoint, query.parts[i].id));
+        kept += prefixKept ? query.parts[i].tokens : 0;
+        all += query.parts[i].tokens;
+    }
+    return std::max(all, query.promptTokens) - kept;
+}
+
+bool PlacementPolicy::remembers(const std::string &endpoint, const std::string &part) const
+{
+    const auto it = memories_.find(endpoint);
+    return it != memories_.end() && it->second.places.contains(part);
+}
+
+Duration PlacementPolicy::expectedWait(const EndpointRecord &endpoint, TimePoint now) const
+{
+    const auto &load = loads_.of(endpoint.id);
+    const Duration own = fromSeconds(static_cast<double>(load.promptTokens) / options_.prefillTokensPerMs / 1000);
+    return std::max(own, loads_.observedWait(endpoint.id, now));
+}
+
+double PlacementPolicy::use(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const
+{
+    const auto &load = loads_.of(endpoint.id);
+    double work = load.calls;
+    if (now - load.reportedAt < ReportLifetime) {
+        work = std::max<double>(work, load.reported.running + load.reported.waiting);
+    }
+    const double distance = endpoint.dataCentre == dataCentre ? 0 : options_.otherDataCentrePenalty;
+    return (work + load.calls) / endpoint.slots + distance + load.failureRate;
+}
+
+void PlacementPolicy::partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts)
+{
+    Memory &memory = memories_[endpoint];
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        const auto it = memory.places.find(parts[i].id);
+        if (it != memory.places.end()) {
+            memory.order.splice(memory.order.end(), memory.order, it->second);
+            continue;
+        }
+        memory.places[parts[i].id] = memory.order.insert(memory.order.end(), parts[i].id);
+        if (memory.order.size() > options_.rememberedParts) {
+            memory.places.erase(memory.order.front());
+            memory.order.pop_front();
+        }
+    }
+}
+
+void PlacementPolicy::forget(const std::string &endpoint)
+{
+    memories_.erase(endpoint);
+}
+
+}
