Platform: duties, division of quotas, stage plan

Cause: the thin path reported no usage, kept no quota and left the engines in their starting stages, of which a third read prompts. Change: FleetCoordinator (lease, status rows, division of quotas, announcements) and StageOrders on the classes StagePlan, QuotaShares and GatewayLiveness; UsageReporter and DutyLease take the table as a template argument and serve both platforms. A stage change is announced in the store before the order, so that no gateway sends work to an engine that is changing. Ruled out: output tokens stated by callers as a measure of generation (the stated maximum and the estimate are both far off; slots in use are measured); dividing quotas without settling (the parts could sum up to more than the whole while some gateway has not seen a division).

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -28,6 +28,8 @@
 constexpr Milliseconds ReturnSpread{400};
 /** Prefill calls for one request. */
 constexpr unsigned MaxPrefills = 2;
+/** Callers are not spread evenly over gateways. */
+constexpr double ConnectionSkew = 1.2;
 constexpr std::string_view EventEnd = "\n\n";
 
 bool isSuccess(int status)
@@ -39,7 +41,14 @@
 
 RetryBudget &ForwardingContext::retryBudget(const std::string &service)
 {
-    return retryBudgets.try_emplace(service, freshRetryBudget).first->second;
+    const auto gateways = static_cast<double>(fleet.gateways());
+    return retryBudgets.try_emplace(service, retryRatio, retryReserve / gateways).first->second;
+}
+
+unsigned ForwardingContext::connectionLimit(const RoutedService &service) const
+{
+    const auto gateways = static_cast<double>(fleet.gateways());
+    return static_cast<unsigned>(std::ceil(service.maxConnections * std::min(1.0, ConnectionSkew / gateways)));
 }
 
 ForwardedRequest::ForwardedRequest(ForwardingContext &context, std::shared_ptr<CallerExchange> exchange, AdmittedRequest request)
@@ -105,7 +114,8 @@
         return;
     }
     const TimePoint now = suspendAwareNow();
-    const Placement placement = context_.placement.place(query_, context_.directory.usable(request_.service->name), now);
+    const Placement placement = context_.placement.place(query_, context_.directory.usable(request_.service->name, now), now);
+    noteWork(placement);
     switch (placement.verdict) {
     case Placement::Verdict::NoEndpoint:
         context_.metrics.counter("requests_without_endpoint_total").add();
@@ -125,6 +135,21 @@
     }
 }
 
+void ForwardedRequest::noteWork(const Placement &placement)
+{
+    if (!request_.service->engine || std::exchange(workNoted_, true)) {
+        return;
+    }
+    EngineWork work;
+    if (placement.prefill) {
+        work.readTokens = static_cast<double>(placement.tokensToRead);
+        work.movedTokens = static_cast<double>(query_.promptTokens);
+    } else {
+        work.wholeTokens = static_cast<double>(query_.promptTokens);
+    }
+    context_.fleet.workDone(request_.service->name, work);
+}
+
 void ForwardedRequest::prefill(const Placement &placement)
 {
     ++prefills_;
@@ -152,7 +177,7 @@
     context_.loads.callStarted(endpoint.id, promptTokens);
     facts.customer = request_.customer;
     facts.endpointId = endpoint.id;
-    const auto limit = static_cast<unsigned>(std::ceil(request_.service->maxConnections * context_.connectionShare));
+    const unsigned limit = context_.connectionLimit(*request_.service);
     context_.pool.acquire(endpoint, limit, [self = shared_from_this(), endpoint, facts = std::move(facts)](const auto &connection) {
         if (self->done_ && connection.ok()) {
             self->context_.pool.release(endpoint, *connection);
@@ -207,7 +232,7 @@
     }
     const bool began = call_->work == CallWork::Run && !call_->answer.notRun;
     if (began && !std::exchange(runBegan_, true)) {
-        context_.onRunBegan(request_.customer);
+        context_.fleet.requestRan(request_.customer);
     }
 }
 
@@ -281,6 +306,11 @@
 {
     OutgoingCall call = std::move(*call_);
     call_.reset();
+    if (call.work == CallWork::Run && request_.service->engine) {
+        EngineWork work;
+        work.busySlots = toSeconds(suspendAwareNow() - call.startedAt) * 1000;
+        context_.fleet.workDone(request_.service->name, work);
+    }
     context_.loads.callEnded(call.endpoint.id, call.promptTokens, outcome, suspendAwareNow());
     if (call.connection) {
         context_.pool.release(call.endpoint, call.connection);
@@ -300,7 +330,7 @@
             prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             promptHolder_ = call.endpoint;
             const auto engine
-                = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name), call.endpoint, now);
+                = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), call.endpoint, now);
             if (engine) {
                 const auto prompt = std::exchange(prompt_, std::nullopt);
                 run(*engine, prompt);
@@ -435,6 +465,9 @@
     done_ = true;
     timer_.cancel();
     releasePrompt();
+    if (!policy_.mayHaveRun()) {
+        context_.quotas.refund(request_.customer, request_.quotaUnits);
+    }
     exchange_->onCallerGone(nullptr);
     exchange_->onDrained(nullptr);
     const double seconds = toSeconds(suspendAwareNow() - exchange_->arrivedAt());
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -9,6 +9,7 @@
 #include "endpointdirectory.h"
 #include "endpointloads.h"
 #include "endpointpool.h"
+#include "fleetcoordinator.h"
 #include "log.h"
 #include "metrics.h"
 #include "placement.h"
@@ -37,15 +38,17 @@
     EndpointLoads &loads;
     PlacementPolicy &placement;
     std::string dataCentre;
+    FleetCoordinator &fleet;
+    QuotaShares &quotas;
+    /** Repeats for each first attempt, and repeats beyond that, over all gateways. */
+    double retryRatio = 0;
+    double retryReserve = 0;
     /** By service. */
     std::map<std::string, RetryBudget> retryBudgets;
-    RetryBudget freshRetryBudget;
-    /** This gateway's part of the connections that an endpoint accepts. */
-    double connectionShare = 0.2;
-    /** An endpoint began to run a request of the customer. */
-    std::function<void(const std::string &customer)> onRunBegan;
 
     RetryBudget &retryBudget(const std::string &service);
+    /** Connections that this gateway may open to one endpoint. */
+    unsigned connectionLimit(const RoutedService &service) const;
 };
 
 /** A request that passed all checks. */
@@ -58,6 +61,8 @@
     const RoutedService *service = nullptr;
     /** Empty where the route needs no key. */
     std::string customer;
+    /** Taken from the customer's quota; given back if the request is not run. */
+    double quotaUnits = 0;
 };
 
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
@@ -82,6 +87,7 @@
     };
 
     void place();
+    void noteWork(const Placement &placement);
     void prefill(const Placement &placement);
     void run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt);
     void send(const EndpointRecord &endpoint, CallWork work, std::uint64_t promptTokens, Platform::ForwardingFacts facts);
@@ -123,6 +129,7 @@
     std::optional<EndpointRecord> promptHolder_;
     PlacementQuery query_;
     unsigned prefills_ = 0;
+    bool workNoted_ = false;
     bool runBegan_ = false;
     bool done_ = false;
     std::string lastEndpoint_;
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -53,6 +53,18 @@
     return std::chrono::duration_cast<Duration>(duration * DriftMargin);
 }
 
+UsageOptions usageOptions(const GatewaySettings &settings)
+{
+    UsageOptions options;
+    options.vmName = settings.name;
+    options.window = settings.timing.usageWindow;
+    options.flushInterval = settings.timing.usageFlush;
+    options.sealDelay = settings.timing.usageGrace;
+    options.writeTimeout = settings.timing.leaseDuration;
+    options.reportTimeout = settings.platformTimeout;
+    return options;
+}
+
 }
 
 Gateway::Gateway(GatewaySettings settings, asio::io_context &context, const Log &log, Metrics &metrics, std::uint64_t incarnation)
@@ -139,7 +151,8 @@
                      settings_.name,
                      incarnation,
                      toLeaseOptions(settings_.timing, withMargin(settings_.platformTimeout)))
-    , usage_(context.get_executor(), table_, client_, settings_, incarnation, reporterLease_, metrics, log)
+    , usageSink_(client_, settings_.platformUrl)
+    , usage_(context.get_executor(), table_, usageSink_, reporterLease_, usageOptions(settings_), incarnation, metrics, log)
     , endpointOrders_(context.get_executor(), table_, client_, settings_, plannerLease_, incarnation, log)
     , fleet_(context.get_executor(),
              table_,
--- a/src/chestnutcove/gateway.h
+++ b/src/chestnutcove/gateway.h
@@ -105,6 +105,7 @@
     LimitBoard limits_;
     DutyLease plannerLease_;
     DutyLease reporterLease_;
+    JsonUsageSink usageSink_;
     UsageReporter usage_;
     EndpointOrders endpointOrders_;
     FleetDuty fleet_;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -16,6 +16,7 @@
 constexpr int Ok = 200;
 constexpr int Unauthorised = 401;
 constexpr int NotFound = 404;
+constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
 
 constexpr std::uint16_t MetricsPort = 9464;
@@ -30,16 +31,25 @@
 constexpr Milliseconds BalancerNotice{2500};
 /** The process ends by itself this long before it would be killed. */
 constexpr Milliseconds KillMargin{400};
-/** Gateways that share an endpoint's connections and the retry budget while their number isn't known. */
-constexpr double AssumedGateways = 8;
-/** Part of the fleet's retry budget that the gateways use. */
-constexpr double RetryBudgetUse = 0.7;
+/** What the gateway has to store before its end is written this long before it would be killed. */
+constexpr Milliseconds LeaveMargin{1500};
+/** Part of the allowance beyond the quotas that is used. */
+constexpr double QuotaAllowanceUse = 0.7;
+/** Part of the fleet's retry budget that the gateways use; the rest is for those that join. */
+constexpr double RetryBudgetUse = 0.6;
 
 asio::ip::tcp::endpoint listenAddress(const NetworkAddress &address)
 {
     return {asio::ip::make_address_v4(address.ip), address.port};
 }
 
+QuotaShareOptions quotaOptions(const Platform::PlatformSettings &settings)
+{
+    QuotaShareOptions options;
+    options.allowance = settings.quotaAllowance * QuotaAllowanceUse;
+    return options;
+}
+
 TableMirrorOptions mirrorOptions()
 {
     TableMirrorOptions options;
@@ -62,6 +72,9 @@
     , directory_(EndpointDirectoryOptions{})
     , placement_(PlacementOptions{}, loads_)
     , pool_(context, EndpointPoolOptions{})
+    , quotas_(settings_.vmName, quotaOptions(settings_))
+    , fleet_(
+          settings_, context, table_, client_, pool_, directory_, quotas_, [this] { return catalogue_; }, incarnation_, metrics_, log)
     , forwarding_{context,
                   log,
                   metrics,
@@ -70,10 +83,11 @@
                   loads_,
                   placement_,
                   settings_.dataCentre,
-                  {},
-                  RetryBudget(settings_.retryRatio * RetryBudgetUse, settings_.retryReserve * RetryBudgetUse / AssumedGateways),
-                  1 / AssumedGateways,
-                  [](const std::string &) {}}
+                  fleet_,
+                  quotas_,
+                  settings_.retryRatio * RetryBudgetUse,
+                  settings_.retryReserve * RetryBudgetUse,
+                  {}}
     , configurationMirror_(context,
                            table_,
                            log,
@@ -138,6 +152,7 @@
         metricsServer_->sweep(now);
         pool_.sweep(now);
         dropEndedEndpoints(now);
+        fleet_.tick(now);
         checkStopped(now);
     });
     return absl::OkStatus();
@@ -247,29 +262,53 @@
         return;
     }
     AdmittedRequest request;
+    request.facts = std::move(facts);
     if (catalogue_->needsKeys() && !route->anonymous) {
         if (!fresh) {
-            refuse(exchange, facts, Unavailable, "keys not fresh", NotReadyRetry);
+            refuse(exchange, request.facts, Unavailable, "keys not fresh", NotReadyRetry);
             return;
         }
-        const CustomerQuota *customer = catalogue_->customerOfKey(facts.key);
+        const CustomerQuota *customer = catalogue_->customerOfKey(request.facts.key);
         if (customer == nullptr) {
-            refuse(exchange, facts, Unauthorised, "unknown key");
+            refuse(exchange, request.facts, Unauthorised, "unknown key");
             return;
         }
         request.customer = customer->name;
+        if (!spendQuota(exchange, request, *customer)) {
+            return;
+        }
     }
     request.catalogue = catalogue_;
     request.route = route;
-    request.service = chooseService(*catalogue_, *route, facts.requestId);
+    request.service = chooseService(*catalogue_, *route, request.facts.requestId);
     if (request.service == nullptr) {
-        refuse(exchange, facts, Unavailable, "route without a service", NotReadyRetry);
+        refuse(exchange, request.facts, Unavailable, "route without a service", NotReadyRetry);
         return;
     }
-    request.facts = std::move(facts);
     std::make_shared<ForwardedRequest>(forwarding_, exchange, std::move(request))->start();
 }
 
+bool PlatformGateway::spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request, const CustomerQuota &customer)
+{
+    const TimePoint now = suspendAwareNow();
+    if (customer.rate > 0 && !quotas_.isUsable(now)) {
+        refuse(exchange, request.facts, Unavailable, "no part of the quota yet", NotReadyRetry);
+        return false;
+    }
+    const auto &facts = request.facts;
+    const double tokens
+        = facts.promptTokens ? static_cast<double>(*facts.promptTokens + facts.maxOutputTokens) : customer.tokensOfPlainRequest;
+    const double units = customer.countsTokens ? tokens : 1;
+    const QuotaVerdict verdict = quotas_.admit(customer, units, now);
+    if (!verdict.admitted) {
+        const auto wait = std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(verdict.wait));
+        refuse(exchange, facts, TooManyRequests, "quota used up", wait);
+        return false;
+    }
+    request.quotaUnits = units;
+    return true;
+}
+
 const RoutedService *PlatformGateway::chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const
 {
     double total = 0;
@@ -306,7 +345,13 @@
 
 bool PlatformGateway::isReady(TimePoint now) const
 {
-    return !stopping_ && catalogue_ && configurationProof_.isFresh(now);
+    return !stopping_ && catalogue_ && configurationProof_.isFresh(now) && (!hasQuotas() || quotas_.isUsable(now));
+}
+
+bool PlatformGateway::hasQuotas() const
+{
+    const auto &customers = catalogue_->customers();
+    return std::any_of(customers.begin(), customers.end(), [](const auto &customer) { return customer.rate > 0; });
 }
 
 void PlatformGateway::onStatusRequest(const std::shared_ptr<CallerExchange> &exchange)
@@ -330,6 +375,7 @@
     stoppedAt_ = suspendAwareNow();
     onStopped_ = std::move(onStopped);
     callers_->announceClose();
+    fleet_.beginLeaving(stoppedAt_);
 }
 
 void PlatformGateway::reload(const absl::StatusOr<Platform::PlatformSettings> &settings)
@@ -353,7 +399,11 @@
     }
     callers_->closeIdle();
     const bool drained = callers_->openConnections() == 0;
-    if (drained || since > settings_.stopGrace - KillMargin) {
+    const bool outOfTime = since > settings_.stopGrace - KillMargin;
+    if (drained || since > settings_.stopGrace - LeaveMargin) {
+        fleet_.finishLeaving();
+    }
+    if ((drained && fleet_.hasLeft()) || outOfTime) {
         log_.info("stopped", {{"connectionsLeft", std::to_string(callers_->openConnections())}});
         std::exchange(onStopped_, nullptr)();
     }
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -8,6 +8,7 @@
 #include "endpointdirectory.h"
 #include "endpointloads.h"
 #include "endpointpool.h"
+#include "fleetcoordinator.h"
 #include "forwardedrequest.h"
 #include "freshnessproof.h"
 #include "httpclient.h"
@@ -31,8 +32,6 @@
 
 namespace Chestnutcove {
 
-using PlatformTable = BasicHttpTable<Platform::StoreFormat>;
-
 class PlatformGateway
 {
 public:
@@ -64,9 +63,12 @@
                 int status,
                 std::string_view reason,
                 std::optional<Milliseconds> retryAfter = std::nullopt);
+    /** Answers with a refusal unless the customer may spend the request's units. */
+    bool spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request, const CustomerQuota &customer);
     const RoutedService *chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const;
     void onStatusRequest(const std::shared_ptr<CallerExchange> &exchange);
     bool isReady(TimePoint now) const;
+    bool hasQuotas() const;
     void checkStopped(TimePoint now);
 
     Platform::PlatformSettings settings_;
@@ -84,6 +86,8 @@
     EndpointLoads loads_;
     PlacementPolicy placement_;
     EndpointPool pool_;
+    QuotaShares quotas_;
+    FleetCoordinator fleet_;
     ForwardingContext forwarding_;
     TableMirror<PlatformTable> configurationMirror_;
     TableMirror<PlatformTable> endpointMirror_;
--- /dev/null
+++ b/src/chestnutcove/stageorders.cpp
@@ -0,0 +1,208 @@
+#include "stageorders.h"
+
+#include "suspendclock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Accepted = 202;
+/** Until the engine's entry shows what it became. */
+constexpr Milliseconds EntryDelay{1500};
+/** An order without an answer may be carried out as late as this. */
+constexpr std::chrono::seconds LateOrder{13};
+/** Gateways read announcements about once a second. */
+constexpr Milliseconds AnnouncementDelay{1400};
+/** An engine that did not take an order is left alone for this long. */
+constexpr Milliseconds RefusalPause{1000};
+
+}
+
+StageOrders::StageOrders(EndpointPool &pool,
+                         PlatformTable &table,
+                         const BasicDutyLease<PlatformTable> &lease,
+                         std::string holder,
+                         Metrics &metrics,
+                         const Log &log)
+    : pool_(pool)
+    , table_(table)
+    , lease_(lease)
+    , holder_(std::move(holder))
+    , metrics_(metrics)
+    , log_(log)
+{
+}
+
+void StageOrders::tick(const RoutedService &service,
+                       const std::vector<EndpointRecord> &engines,
+                       const std::optional<EngineWork> &work,
+                       TimePoint now)
+{
+    std::erase_if(ordered_, [now](const auto &item) { return now >= item.second.until; });
+    std::vector<EndpointRecord> planned;
+    unsigned changing = 0;
+    bool announced = false;
+    for (EndpointRecord engine : engines) {
+        if (!engine.stage) {
+            continue;
+        }
+        if (const auto it = ordered_.find(engine.id); it != ordered_.end()) {
+            changing += engine.stage == it->second.stage ? 0 : 1;
+            engine.stage = it->second.stage;
+        }
+        planned.push_back(std::move(engine));
+    }
+    StagePlan &plan = plans_.try_emplace(service.name, StagePlanOptions{}).first->second;
+    for (const auto &change : plan.plan(planned, changing, *service.engine, work, now)) {
+        if (ordered_.contains(change.engine.id)) {
+            continue;
+        }
+        log_.info("stage planned",
+                  {{"endpoint", change.engine.id},
+                   {"stage", std::string(nameOf(EngineStageNames, change.stage))},
+                   {"engines", std::to_string(planned.size())},
+                   {"readTokensPerMs", work ? std::to_string(work->readTokens) : "assumed"},
+                   {"movedTokensPerMs", work ? std::to_string(work->movedTokens) : "assumed"},
+                   {"wholeTokensPerMs", work ? std::to_string(work->wholeTokens) : "assumed"},
+                   {"busySlots", work ? std::to_string(work->busySlots) : "assumed"},
+                   {"epoch", std::to_string(lease_.keeper().epoch())}});
+        const Duration stageChange = service.engine->stageChange;
+        ordered_[change.engine.id]
+            = {change.stage, now + AnnouncementDelay + stageChange + EntryDelay, now + AnnouncementDelay, change, stageChange};
+        announced = true;
+    }
+    if (announced) {
+        announce();
+    }
+    orderAnnounced(now);
+}
+
+void StageOrders::announce()
+{
+    nlohmann::json stages = nlohmann::json::object();
+    for (const auto &[id, ordered] : ordered_) {
+        stages[id] = nameOf(EngineStageNames, ordered.stage);
+    }
+    TableTransaction transaction;
+    transaction.puts = {{AnnouncementKey, nlohmann::json{{"stages", std::move(stages)}}.dump()}};
+    table_.commit(transaction, [this](CommitOutcome outcome) {
+        // The order goes out all the same: a gateway that doesn't know of it finds the engine refusing work.
+        if (outcome != CommitOutcome::Committed) {
+            log_.warning("stage changes may not be announced", {});
+        }
+    });
+}
+
+absl::StatusOr<std::map<std::string, EngineStage>> StageOrders::announcedStages(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("stages") || !json["stages"].is_object()) {
+        return absl::DataLossError("unreadable announcement of stages");
+    }
+    std::map<std::string, EngineStage> stages;
+    for (const auto &[id, name] : json["stages"].items()) {
+        const auto stage = name.is_string() ? valueOf(EngineStageNames, name.get<std::string>()) : std::nullopt;
+        if (!stage) {
+            return absl::DataLossError("unreadable announcement of stages");
+        }
+        stages[id] = *stage;
+    }
+    return stages;
+}
+
+void StageOrders::orderAnnounced(TimePoint now)
+{
+    std::vector<Ordered> due;
+    for (auto &[id, ordered] : ordered_) {
+        if (ordered.orderAt && now >= *ordered.orderAt) {
+            ordered.orderAt.reset();
+            due.push_back(ordered);
+        }
+    }
+    for (const auto &ordered : due) {
+        ask(ordered.change, ordered.stageChange);
+    }
+}
+
+void StageOrders::ask(const StageChange &change, Duration stageChange)
+{
+    call(change.engine,
+         {Platform::encodeReportQuestion(change.engine.address), ""},
+         [this, change, stageChange](int status, const auto &body) {
+             const auto report = Platform::decodeReport(body);
+             if (status != Ok || !report.ok() || report->busy) {
+                 ordered_[change.engine.id].until = suspendAwareNow() + RefusalPause;
+                 return;
+             }
+             if (report->stage != change.stage) {
+                 order(change, *report, stageChange);
+             }
+         });
+}
+
+void StageOrders::order(const StageChange &change, const Platform::EngineReport &report, Duration stageChange)
+{
+    if (!lease_.keeper().mayAct(suspendAwareNow())) {
+        return;
+    }
+    Platform::StageOrder order;
+    order.stage = change.stage;
+    order.endpointId = change.engine.id;
+    order.address = change.engine.address;
+    order.holder = holder_;
+    order.fencingToken = lease_.keeper().epoch();
+    order.ordersBefore = report.ordersAccepted;
+    metrics_.counter("stage_orders_total").add();
+    call(change.engine, Platform::encodeStageOrder(order), [this, change, stageChange](int status, const std::string &) {
+        const TimePoint now = suspendAwareNow();
+        const bool taken = status == Ok || status == Accepted;
+        Ordered &ordered = ordered_[change.engine.id];
+        ordered.stage = change.stage;
+        ordered.until = now + (taken ? stageChange + EntryDelay : status == 0 ? Duration(LateOrder) : Duration(RefusalPause));
+        log_.info("stage ordered",
+                  {{"endpoint", change.engine.id},
+                   {"stage", std::string(nameOf(EngineStageNames, change.stage))},
+                   {"answer", status == 0 ? "none" : std::to_string(status)}});
+    });
+}
+
+void StageOrders::call(const EndpointRecord &engine,
+                       Platform::EncodedCall encoded,
+                       std::function<void(int status, const std::string &body)> onDone)
+{
+    pool_.acquire(engine, 0, [this, engine, encoded = std::move(encoded), onDone = std::move(onDone)](const auto &connection) {
+        if (!connection.ok()) {
+            onDone(0, "");
+            return;
+        }
+        // Connecting took time: the lease is checked again just before the call leaves.
+        if (!lease_.keeper().mayAct(suspendAwareNow())) {
+            pool_.release(engine, *connection);
+            onDone(0, "");
+            return;
+        }
+        struct Answer
+        {
+            int status = 0;
+            std::string body;
+        };
+        auto answer = std::make_shared<Answer>();
+        ConnectionCall message;
+        message.head = encoded.head;
+        message.body = encoded.body;
+        message.onHead = [answer](const ResponseHead &head, std::optional<std::uint64_t>) { answer->status = head.status; };
+        message.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
+        message.onEnd = [this, engine, answer, onDone, connection = *connection](CallEnd end) {
+            pool_.release(engine, connection);
+            onDone(end == CallEnd::Complete ? answer->status : 0, answer->body);
+        };
+        (*connection)->send(std::move(message));
+    });
+}
+
+}
--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -38,13 +38,25 @@
 {
     const auto it = entries_.find(record.id);
     if (it == entries_.end()) {
-        entries_.emplace(record.id, Entry{record, std::nullopt});
+        entries_.emplace(record.id, Entry{record, std::nullopt, std::nullopt, {}});
         return;
     }
-    if (!it->second.record.isSameRun(record)) {
-        ended_.push_back(it->second.record);
+    Entry &entry = it->second;
+    if (!entry.record.isSameRun(record)) {
+        ended_.push_back(entry.record);
+        entry.nextStage.reset();
+    }
+    entry.record = record;
+    entry.keptUntil.reset();
+}
+
+void EndpointDirectory::stageChangeAnnounced(const std::string &id, EngineStage stage, TimePoint until)
+{
+    const auto it = entries_.find(id);
+    if (it != entries_.end()) {
+        it->second.nextStage = stage;
+        it->second.changingUntil = until;
     }
-    it->second = Entry{record, std::nullopt};
 }
 
 void EndpointDirectory::vanished(const std::string &id, TimePoint now)
@@ -101,7 +113,19 @@
     return std::exchange(ended_, {});
 }
 
-std::vector<EndpointRecord> EndpointDirectory::usable(const std::string &service) const
+std::vector<EndpointRecord> EndpointDirectory::usable(const std::string &service, TimePoint now) const
+{
+    std::vector<EndpointRecord> result;
+    for (const auto &[id, entry] : entries_) {
+        const bool changing = entry.nextStage && entry.nextStage != entry.record.stage && now < entry.changingUntil;
+        if (entry.record.service == service && !entry.record.draining && !changing) {
+            result.push_back(entry.record);
+        }
+    }
+    return result;
+}
+
+std::vector<EndpointRecord> EndpointDirectory::staying(const std::string &service) const
 {
     std::vector<EndpointRecord> result;
     for (const auto &[id, entry] : entries_) {
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -12,6 +12,9 @@
 constexpr unsigned SilentBeforeAvoiding = 2;
 constexpr Milliseconds FirstAvoidance{500};
 constexpr Milliseconds LongestAvoidance{4000};
+/** An endpoint that refuses work is full, or busy with an order. */
+constexpr Milliseconds FirstRefusalPause{60};
+constexpr Milliseconds LongestRefusalPause{960};
 /** An observed wait counts less and less, and no more after this time. */
 constexpr Milliseconds WaitMemory{300};
 
@@ -41,6 +44,11 @@
         const unsigned doublings = std::min(load.silentInARow - SilentBeforeAvoiding, 3U);
         load.avoidUntil = now + std::min(FirstAvoidance * (1U << doublings), LongestAvoidance);
     }
+    load.refusedInARow = outcome == AttemptOutcome::NotRun ? load.refusedInARow + 1 : 0;
+    if (load.refusedInARow > 0) {
+        const unsigned doublings = std::min(load.refusedInARow - 1, 4U);
+        load.avoidUntil = std::max(load.avoidUntil, now + std::min(FirstRefusalPause * (1U << doublings), LongestRefusalPause));
+    }
 }
 
 void EndpointLoads::loadReported(const std::string &endpoint, const ReportedLoad &load, TimePoint now)
--- a/src/libserving/endpointloads.h
+++ b/src/libserving/endpointloads.h
@@ -39,6 +39,7 @@
         /** Smoothed share of calls that failed, 0 to 1. */
         double failureRate = 0;
         unsigned silentInARow = 0;
+        unsigned refusedInARow = 0;
         /** Other endpoints are preferred until then. */
         TimePoint avoidUntil{};
     };
--- /dev/null
+++ b/src/libserving/gatewaystatus.h
@@ -0,0 +1,51 @@
+/**
+ * What a gateway tells the others through its row in the store: that it lives, and what it was asked for lately.
+ */
+#pragma once
+
+#include "quotashares.h"
+#include "stageplan.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Chestnutcove {
+
+struct GatewayStatus
+{
+    std::uint64_t incarnation = 0;
+    /** Rises with each write of a run. */
+    std::uint64_t beat = 0;
+    CustomerDemand demand;
+    /** By service. */
+    std::map<std::string, EngineWork> work;
+
+    std::string toText() const;
+    static absl::StatusOr<GatewayStatus> fromText(const std::string &text);
+};
+
+/** Tells from the gateways' rows which of them live: those whose row changed within a time. */
+class GatewayLiveness
+{
+public:
+    explicit GatewayLiveness(Duration silence);
+
+    void observed(const std::map<std::string, GatewayStatus> &statuses, TimePoint now);
+    /** The statuses of gateways that live, by VM. */
+    std::map<std::string, GatewayStatus> living(TimePoint now) const;
+
+private:
+    struct Seen
+    {
+        GatewayStatus status;
+        TimePoint changedAt;
+    };
+
+    Duration silence_;
+    std::map<std::string, Seen> seen_;
+};
+
+}
--- /dev/null
+++ b/src/libserving/quotashares.h
@@ -0,0 +1,115 @@
+/**
+ * A gateway's part of each customer's rate. The lease holder divides the rates by the demand that gateways report and stores the division;
+ * a gateway spends no more than its part. A part shrinks as soon as the division is seen and grows only after every gateway that still used
+ * the division before it has seen the new one or stopped for want of a fresh read. So the parts never sum up to more than the whole.
+ */
+#pragma once
+
+#include "freshnessproof.h"
+#include "routecatalogue.h"
+#include "timepoint.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Chestnutcove {
+
+/** Fractions of the customers' rates by VM. Customers that aren't named are divided evenly. */
+struct QuotaDivision
+{
+    /** Rises with each division that is stored. */
+    std::uint64_t number = 0;
+    /** Every gateway is known to have seen it or to have stopped spending from the one before. */
+    bool settled = false;
+    std::vector<std::string> vms;
+    /** By customer and VM; each customer's fractions sum up to at most 1. */
+    std::map<std::string, std::map<std::string, double>> fractions;
+
+    double fractionOf(const std::string &customer, const std::string &vm) const;
+    std::string toText() const;
+    static absl::StatusOr<QuotaDivision> fromText(const std::string &text);
+};
+
+/** Units a second that each VM was asked for by each customer. */
+using CustomerDemand = std::map<std::string, double>;
+
+/** Half of each rate is divided evenly, so that a VM can take sudden load, and half by demand. */
+QuotaDivision divideQuotas(std::uint64_t number, const std::map<std::string, CustomerDemand> &demandOfVm);
+/** Whether the division is far enough from what demand asks for to be replaced. */
+bool isOutdated(const QuotaDivision &current, const QuotaDivision &wanted);
+
+struct QuotaShareOptions
+{
+    /** A division older than this without a fresh read may not be spent from. */
+    Duration maxAge = std::chrono::milliseconds(4300);
+    /** Time after a division is first seen at which larger parts may be used; more than maxAge. */
+    Duration growthDelay = std::chrono::milliseconds(5500);
+    /** Units beyond rate and burst that all VMs together may spend; evens out what dividing a burst costs. */
+    double allowance = 0;
+};
+
+struct QuotaVerdict
+{
+    bool admitted = false;
+    /** Time until enough units have accrued; for a refusal. */
+    Duration wait{};
+};
+
+class QuotaShares
+{
+public:
+    QuotaShares(std::string vm, QuotaShareOptions options);
+
+    /** The stored division was read; the read began at @p startedAt. */
+    void observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now);
+    /** Some division is known and fresh. */
+    bool isUsable(TimePoint now) const;
+
+    QuotaVerdict admit(const CustomerQuota &customer, double units, TimePoint now);
+    /** Gives back units of a request that was not run. */
+    void refund(const std::string &customer, double units);
+    /** Units a second that each customer asked for lately. */
+    CustomerDemand demand(TimePoint now);
+    std::uint64_t divisionNumber() const;
+
+private:
+    struct Bucket
+    {
+        double level = 0;
+        TimePoint filledAt{};
+        /** The limits that the level was filled under. */
+        double capacity = 0;
+        bool known = false;
+    };
+
+    double fractionOf(const std::string &customer, TimePoint now) const;
+    void fill(Bucket &bucket, double rate, double capacity, TimePoint now);
+    void noteDemand(const std::string &customer, double units);
+
+    std::string vm_;
+    QuotaShareOptions options_;
+    FreshnessProof proof_;
+    QuotaDivision current_;
+    /** Divisions that others may still act on; the part is no more than in any of them. Empty once the current one is settled. */
+    std::vector<QuotaDivision> bounds_;
+    /** When the current division was first seen. */
+    TimePoint seenAt_{};
+    bool known_ = false;
+    std::unordered_map<std::string, Bucket> buckets_;
+    /** Units asked for since demand() was last called. */
+    std::map<std::string, double> asked_;
+    CustomerDemand smoothed_;
+    TimePoint demandSince_{};
+};
+
+inline std::uint64_t QuotaShares::divisionNumber() const
+{
+    return current_.number;
+}
+
+}
--- /dev/null
+++ b/src/libserving/stageplan.h
@@ -0,0 +1,98 @@
+/**
+ * Decides which engines of a service read prompts and which generate. It compares the use of both kinds of engine under the work of late
+ * and moves one engine at a time where that lowers the greater of the two by enough to pay for the time that the engine is away.
+ */
+#pragma once
+
+#include "endpointrecord.h"
+#include "routecatalogue.h"
+#include "timepoint.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Chestnutcove {
+
+/** Work of a service, in tokens a millisecond over all gateways. */
+struct EngineWork
+{
+    /** Prompt tokens that were not cached. */
+    double readTokens = 0;
+    /** Prompt tokens whose cache entries moved from an engine that read them to one that generates. */
+    double movedTokens = 0;
+    /** Prompt tokens read by engines that generate. */
+    double wholeTokens = 0;
+    /** Requests that were generating at the same time; not tokens. */
+    double busySlots = 0;
+
+    EngineWork &operator+=(const EngineWork &other);
+    /** Each figure times a factor. */
+    EngineWork scaled(double factor) const;
+};
+
+struct StagePlanOptions
+{
+    /** Prompt tokens that an engine reads in a millisecond, with its other work. */
+    double readTokensPerMs = 320;
+    /** Moves between data centres take longer. */
+    double moveOverhead = 1.7;
+    /** Use of engines that read up to which prompts hardly wait for each other, at the mean; it leaves room for bursts. */
+    double comfortableReading = 0.42;
+    /** Use of engines that generate up to which requests find a free slot. */
+    double comfortableGenerating = 0.95;
+    /** Work that is assumed until some was seen: long prompts, two thirds of them cached, with short answers, and a few long answers. */
+    EngineWork assumed{700, 2250, 0, 40};
+    /** A change must lower the greater use by this factor, once there is work that it interrupts. */
+    double worthwhileGain = 1.3;
+    /** Time between two changes because of the mix; repairs after losses don't wait. */
+    Duration dwell = std::chrono::seconds(10);
+    /** Time over which work is averaged, so that short swings are left to routing. */
+    Duration average = std::chrono::seconds(15);
+    /** Work must have been seen for this long before the plan follows it. */
+    Duration firstLook = std::chrono::seconds(8);
+    /** Engines that may be away for a change at the same time, as a part of all. */
+    double maxAway = 0.5;
+};
+
+struct StageChange
+{
+    EndpointRecord engine;
+    EngineStage stage = EngineStage::Decode;
+};
+
+class StagePlan
+{
+public:
+    explicit StagePlan(StagePlanOptions options);
+
+    /** Number of engines out of @p engines that should read prompts; between 1 and engines - 1 where there are two or more. */
+    unsigned readersFor(unsigned engines, const EngineTraits &traits, const EngineWork &work) const;
+
+    /**
+     * The changes to order now.
+     * @param engines those that take work; an engine whose change is under way counts as having its new stage.
+     * @param changing engines whose change is under way.
+     */
+    std::vector<StageChange> plan(const std::vector<EndpointRecord> &engines,
+                                  unsigned changing,
+                                  const EngineTraits &traits,
+                                  const std::optional<EngineWork> &work,
+                                  TimePoint now);
+
+private:
+    double use(unsigned readers, unsigned writers, const EngineTraits &traits, const EngineWork &work) const;
+    void average(const std::optional<EngineWork> &work, TimePoint now);
+
+    StagePlanOptions options_;
+    /** Number of engines when the last change was planned. */
+    std::size_t plannedFor_ = 0;
+    std::optional<TimePoint> lastChange_;
+    /** Meaningful once work was seen. */
+    EngineWork averaged_;
+    std::optional<TimePoint> workSince_;
+    TimePoint averagedAt_{};
+};
+
+}
--- /dev/null
+++ b/tests/serving/stageplan_test.cpp
@@ -0,0 +1,127 @@
+/**
+ * StagePlan: which engines read prompts and which generate, under the loads that the fleet is made for.
+ */
+#include "stageplan.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace Chestnutcove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class StagePlanTest : public testing::Test
+{
+protected:
+    static EngineTraits traits()
+    {
+        EngineTraits result;
+        result.slots = 32;
+        result.cacheTokens = 1400000;
+        result.cacheBytesPerToken = 327680;
+        result.linkMegabitsPerSecond = 22000000;
+        result.stageChange = 3s;
+        return result;
+    }
+
+    void addEngines(unsigned count, unsigned readers)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            EndpointRecord engine;
+            engine.id = "engine-" + std::to_string(engines_.size());
+            engine.dataCentre = "dc-" + std::to_string(engines_.size() % 3);
+            engine.stage = i < readers ? EngineStage::Prefill : EngineStage::Decode;
+            engines_.push_back(engine);
+        }
+    }
+
+    /** Plans once and carries the changes out. */
+    std::size_t step(const std::optional<EngineWork> &work)
+    {
+        now_ += 1s;
+        const auto changes = plan_.plan(engines_, 0, traits(), work, now_);
+        for (const auto &change : changes) {
+            const auto engine
+                = std::find_if(engines_.begin(), engines_.end(), [&](const auto &each) { return each.id == change.engine.id; });
+            engine->stage = change.stage;
+        }
+        return changes.size();
+    }
+
+    std::size_t readers() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(engines_.begin(), engines_.end(), [](const auto &engine) { return engine.stage == EngineStage::Prefill; }));
+    }
+
+    std::vector<EndpointRecord> engines_;
+    StagePlan plan_{StagePlanOptions{}};
+    TimePoint now_{};
+};
+
+TEST_F(StagePlanTest, NoTraffic_FirstPlan_FollowsTheAssumedMixAtOnce)
+{
+    addEngines(9, 3);
+    step(std::nullopt);
+    EXPECT_GE(readers(), 6U);
+    EXPECT_LE(readers(), 7U);
+}
+
+TEST_F(StagePlanTest, EnginesAppearOneByOne_BeforeTraffic_PlanCoversAllOfThem)
+{
+    addEngines(4, 2);
+    step(std::nullopt);
+    addEngines(5, 1);
+    step(std::nullopt);
+    EXPECT_GE(readers(), 6U);
+}
+
+TEST_F(StagePlanTest, SmallGain_BeforeTraffic_IsTakenBecauseNothingIsInterrupted)
+{
+    addEngines(9, 5);
+    step(std::nullopt);
+    EXPECT_GE(readers(), 6U);
+}
+
+TEST_F(StagePlanTest, SwingOfSeconds_EnginesAreRightForTheMean_NothingChanges)
+{
+    addEngines(9, 6);
+    step(std::nullopt);
+    std::size_t changes = 0;
+    for (int second = 0; second < 60; ++second) {
+        const bool prompts = second / 3 % 2 == 0;
+        changes += step(EngineWork{prompts ? 1200.0 : 250.0, prompts ? 3600.0 : 800.0, 1, prompts ? 25.0 : 60.0});
+    }
+    EXPECT_EQ(changes, 0U);
+}
+
+TEST_F(StagePlanTest, LongAnswersTakeOver_ForAMinute_EnginesMoveToGenerating)
+{
+    addEngines(9, 7);
+    step(std::nullopt);
+    for (int second = 0; second < 60; ++second) {
+        step(EngineWork{100, 300, 2, 150});
+    }
+    EXPECT_LE(readers(), 4U);
+}
+
+TEST_F(StagePlanTest, AllReadersLost_NextPlan_NamesOneAtOnce)
+{
+    addEngines(4, 0);
+    step(EngineWork{700, 2250, 0, 40});
+    EXPECT_GE(readers(), 1U);
+    EXPECT_LT(readers(), 4U);
+}
+
+TEST_F(StagePlanTest, OneEngineOnly_AnyWork_StaysAsItIs)
+{
+    addEngines(1, 0);
+    EXPECT_EQ(step(EngineWork{700, 2250, 0, 40}), 0U);
+}
+
+}
+
+}
