Quotas: an unsettled division carries the one before it

Ruled out: empty buckets (they fill within 2 s); a settled flag alone (the division is unsettled for 5.5 s after each change). Change: the row names the division before; while it is not settled, everybody spends the smaller of both parts. QuotaShares keeps no history. A stateful test with restarts, cuts and late reads checks that all parts together stay within rate and burst.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -180,7 +180,7 @@
                        {"settled", division->settled ? "yes" : "no"}});
         }
     }
-    quotas_.observed(*division, startedAt, now);
+    quotas_.observed(*division, startedAt);
 }
 
 void FleetCoordinator::writeStatus(TimePoint now)
@@ -254,7 +254,7 @@
     }
     const QuotaShareOptions shares;
     if (divisionVersion_ > 0 && !division_.settled) {
-        if (now - divisionSince_ >= shares.growthDelay) {
+        if (now - divisionSince_ >= shares.settleTime) {
             QuotaDivision settled = division_;
             settled.settled = true;
             store(std::move(settled));
@@ -268,7 +268,7 @@
     if (demand.empty()) {
         return;
     }
-    QuotaDivision wanted = divideQuotas(division_.number + 1, demand);
+    QuotaDivision wanted = division_.next(divideQuotas(demand));
     const bool membersChanged = wanted.vms != division_.vms;
     const bool dwelt = now - divisionSince_ >= DivisionDwell;
     if (!isOutdated(division_, wanted) || (!membersChanged && !dwelt)) {
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -146,6 +146,7 @@
     }
     configurationMirror_.start();
     endpointMirror_.start();
+    fleet_.tick(suspendAwareNow());
     every(SweepInterval, [this](TimePoint now) {
         callers_->sweep(now);
         readiness_->sweep(now);
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -17,12 +17,10 @@
 /** A part that differs by less than this is left as it is. */
 constexpr double WorthwhileChange = 0.08;
 
-}
-
-double QuotaDivision::fractionOf(const std::string &customer, const std::string &vm) const
+double
+partIn(const std::vector<std::string> &vms, const QuotaDivision::Fractions &fractions, const std::string &customer, const std::string &vm)
 {
-    const bool member = std::find(vms.begin(), vms.end(), vm) != vms.end();
-    if (!member) {
+    if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
         return 0;
     }
     const auto it = fractions.find(customer);
@@ -33,33 +31,59 @@
     return fraction == it->second.end() ? 0 : fraction->second;
 }
 
+}
+
+double QuotaDivision::fractionOf(const std::string &customer, const std::string &vm) const
+{
+    return partIn(vms, fractions, customer, vm);
+}
+
+double QuotaDivision::spendable(const std::string &customer, const std::string &vm) const
+{
+    const double part = fractionOf(customer, vm);
+    return settled ? part : std::min(part, partIn(vmsBefore, fractionsBefore, customer, vm));
+}
+
+QuotaDivision QuotaDivision::next(QuotaDivision wanted) const
+{
+    wanted.number = number + 1;
+    wanted.settled = false;
+    wanted.vmsBefore = vms;
+    wanted.fractionsBefore = fractions;
+    return wanted;
+}
+
 std::string QuotaDivision::toText() const
 {
-    return nlohmann::json{{"number", number}, {"settled", settled}, {"vms", vms}, {"fractions", fractions}}.dump();
+    return nlohmann::json{{"number", number},
+                          {"settled", settled},
+                          {"vms", vms},
+                          {"fractions", fractions},
+                          {"vmsBefore", vmsBefore},
+                          {"fractionsBefore", fractionsBefore}}
+        .dump();
 }
 
 absl::StatusOr<QuotaDivision> QuotaDivision::fromText(const std::string &text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("number") || !json["number"].is_number_unsigned()) {
-        return absl::DataLossError("unreadable division of quotas");
-    }
     try {
+        const auto json = nlohmann::json::parse(text);
         QuotaDivision division;
-        division.number = json["number"].get<std::uint64_t>();
+        json.at("number").get_to(division.number);
         json.at("settled").get_to(division.settled);
         json.at("vms").get_to(division.vms);
         json.at("fractions").get_to(division.fractions);
+        json.at("vmsBefore").get_to(division.vmsBefore);
+        json.at("fractionsBefore").get_to(division.fractionsBefore);
         return division;
     } catch (const nlohmann::json::exception &error) {
         return absl::DataLossError(std::string("unreadable division of quotas: ") + error.what());
     }
 }
 
-QuotaDivision divideQuotas(std::uint64_t number, const std::map<std::string, CustomerDemand> &demandOfVm)
+QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm)
 {
     QuotaDivision division;
-    division.number = number;
     CustomerDemand total;
     for (const auto &[vm, demand] : demandOfVm) {
         division.vms.push_back(vm);
@@ -103,21 +127,10 @@
 {
 }
 
-void QuotaShares::observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now)
+void QuotaShares::observed(const QuotaDivision &division, TimePoint startedAt)
 {
     proof_.proved(startedAt);
-    if (division.settled || (known_ && now - seenAt_ >= options_.growthDelay && division.number == current_.number)) {
-        bounds_.clear();
-    }
-    if (known_ && division.number == current_.number) {
-        return;
-    }
-    if (!division.settled) {
-        // What was in force until now bounds the part; for a process that has just started that is nothing.
-        bounds_.push_back(current_);
-    }
     current_ = division;
-    seenAt_ = now;
     known_ = true;
 }
 
@@ -128,14 +141,7 @@
 
 double QuotaShares::fractionOf(const std::string &customer, TimePoint now) const
 {
-    if (!isUsable(now)) {
-        return 0;
-    }
-    double part = current_.fractionOf(customer, vm_);
-    for (const auto &bound : bounds_) {
-        part = std::min(part, bound.fractionOf(customer, vm_));
-    }
-    return part;
+    return isUsable(now) ? current_.spendable(customer, vm_) : 0;
 }
 
 void QuotaShares::fill(Bucket &bucket, double rate, double capacity, TimePoint now)
@@ -164,7 +170,7 @@
         bucket.level -= units;
         return {true, {}};
     }
-    return {false, rate > 0 ? fromSeconds((units - bucket.level) / rate) : options_.growthDelay};
+    return {false, rate > 0 ? fromSeconds((units - bucket.level) / rate) : options_.settleTime};
 }
 
 void QuotaShares::refund(const std::string &customer, double units)
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -1,7 +1,8 @@
 /**
  * A gateway's part of each customer's rate. The lease holder divides the rates by the demand that gateways report and stores the division;
- * a gateway spends no more than its part. A part shrinks as soon as the division is seen and grows only after every gateway that still used
- * the division before it has seen the new one or stopped for want of a fresh read. So the parts never sum up to more than the whole.
+ * a gateway spends no more than its part. A part shrinks as soon as the division is seen and grows only when the division is settled: when
+ * every gateway that still used the one before has seen the new one or stopped for want of a fresh read. So the parts never sum up to more
+ * than the whole.
  */
 #pragma once
 
@@ -28,9 +29,18 @@
     bool settled = false;
     std::vector<std::string> vms;
     /** By customer and VM; each customer's fractions sum up to at most 1. */
-    std::map<std::string, std::map<std::string, double>> fractions;
+    using Fractions = std::map<std::string, std::map<std::string, double>>;
+    Fractions fractions;
+    /** The settled division before this one, which others may still act on. Not used once this one is settled. */
+    std::vector<std::string> vmsBefore;
+    Fractions fractionsBefore;
 
+    /** The part of a VM in this division alone. */
     double fractionOf(const std::string &customer, const std::string &vm) const;
+    /** The part that a VM may spend: while the division is not settled, the smaller of this one and the one before. */
+    double spendable(const std::string &customer, const std::string &vm) const;
+    /** The division that follows this one. */
+    QuotaDivision next(QuotaDivision wanted) const;
     std::string toText() const;
     static absl::StatusOr<QuotaDivision> fromText(const std::string &text);
 };
@@ -39,7 +49,7 @@
 using CustomerDemand = std::map<std::string, double>;
 
 /** Half of each rate is divided evenly, so that a VM can take sudden load, and half by demand. */
-QuotaDivision divideQuotas(std::uint64_t number, const std::map<std::string, CustomerDemand> &demandOfVm);
+QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm);
 /** Whether the division is far enough from what demand asks for to be replaced. */
 bool isOutdated(const QuotaDivision &current, const QuotaDivision &wanted);
 
@@ -47,8 +57,8 @@
 {
     /** A division older than this without a fresh read may not be spent from. */
     Duration maxAge = std::chrono::milliseconds(4300);
-    /** Time after a division is first seen at which larger parts may be used; more than maxAge. */
-    Duration growthDelay = std::chrono::milliseconds(5500);
+    /** Time after a division was stored at which it is settled; more than maxAge. */
+    Duration settleTime = std::chrono::milliseconds(5500);
     /** Units beyond rate and burst that all VMs together may spend; evens out what dividing a burst costs. */
     double allowance = 0;
 };
@@ -66,7 +76,7 @@
     QuotaShares(std::string vm, QuotaShareOptions options);
 
     /** The stored division was read; the read began at @p startedAt. */
-    void observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now);
+    void observed(const QuotaDivision &division, TimePoint startedAt);
     /** Some division is known and fresh. */
     bool isUsable(TimePoint now) const;
 
@@ -95,10 +105,6 @@
     QuotaShareOptions options_;
     FreshnessProof proof_;
     QuotaDivision current_;
-    /** Divisions that others may still act on; the part is no more than in any of them. Empty once the current one is settled. */
-    std::vector<QuotaDivision> bounds_;
-    /** When the current division was first seen. */
-    TimePoint seenAt_{};
     bool known_ = false;
     std::unordered_map<std::string, Bucket> buckets_;
     /** Units asked for since demand() was last called. */
