Retry budget: each repeat is charged; a stopping gateway takes only what it can finish

Ruled out: a wrong ratio or reserve (0.6 of both is used, and twice that is what was seen); a closed connection (the stream was running). Change: ArrivalCount knows which call is a repeat, the budget is charged when it is sent; 2.8 s after SIGTERM requests that may outlast the process are refused as not run.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -150,8 +150,21 @@
     context_.fleet.workDone(request_.service->name, work);
 }
 
+bool ForwardedRequest::payForCall(CallWork work)
+{
+    if (!arrivals_.isRepeat(work) || context_.retryBudget(request_.service->name).take()) {
+        return true;
+    }
+    context_.metrics.counter("retries_without_budget_total").add();
+    take(policy_.giveUp(), nullptr);
+    return false;
+}
+
 void ForwardedRequest::prefill(const Placement &placement)
 {
+    if (!payForCall(CallWork::Prefill)) {
+        return;
+    }
     ++prefills_;
     Platform::ForwardingFacts facts;
     facts.prefillOnly = true;
@@ -160,6 +173,10 @@
 
 void ForwardedRequest::run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt)
 {
+    if (!payForCall(CallWork::Run)) {
+        prompt_ = prompt;
+        return;
+    }
     policy_.attemptStarted();
     Platform::ForwardingFacts facts;
     facts.prefilled = prompt;
@@ -311,6 +328,7 @@
         work.busySlots = toSeconds(suspendAwareNow() - call.startedAt) * 1000;
         context_.fleet.workDone(request_.service->name, work);
     }
+    arrivals_.callEnded(call.work, outcome);
     context_.loads.callEnded(call.endpoint.id, call.promptTokens, outcome, suspendAwareNow());
     if (call.connection) {
         context_.pool.release(call.endpoint, call.connection);
@@ -340,8 +358,7 @@
         }
     }
     query_.excluded.insert(call.endpoint.id);
-    const bool free = outcome == AttemptOutcome::NotSent;
-    if (prefills_ < MaxPrefills && (free || context_.retryBudget(request_.service->name).take())) {
+    if (prefills_ < MaxPrefills) {
         place();
         return;
     }
@@ -361,7 +378,7 @@
         }
         return;
     }
-    const NextStep step = policy_.attemptEnded(outcome, [this] { return context_.retryBudget(request_.service->name).take(); });
+    const NextStep step = policy_.attemptEnded(outcome, [this] { return context_.retryBudget(request_.service->name).hasRoom(); });
     if (outcome != AttemptOutcome::Succeeded) {
         context_.log.debug("attempt failed",
                            {{"request", request_.facts.requestId},
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "arrivalcount.h"
 #include "attemptpolicy.h"
 #include "callerserver.h"
 #include "endpointdirectory.h"
@@ -88,6 +89,8 @@
 
     void place();
     void noteWork(const Placement &placement);
+    /** Takes a repeat from the retry budget; ends the request where there is none left. */
+    bool payForCall(CallWork work);
     void prefill(const Placement &placement);
     void run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt);
     void send(const EndpointRecord &endpoint, CallWork work, std::uint64_t promptTokens, Platform::ForwardingFacts facts);
@@ -128,6 +131,7 @@
     std::optional<Platform::PrefilledPrompt> prompt_;
     std::optional<EndpointRecord> promptHolder_;
     PlacementQuery query_;
+    ArrivalCount arrivals_;
     unsigned prefills_ = 0;
     bool workNoted_ = false;
     bool runBegan_ = false;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -29,6 +29,9 @@
 constexpr Milliseconds NotReadyRetry{300};
 /** After a stop began, callers may still open connections until the balancer has noticed. */
 constexpr Milliseconds BalancerNotice{2500};
+/** From then on a stopping gateway takes only requests that end before it does. */
+constexpr Milliseconds FirstRefusal{2800};
+constexpr Milliseconds StoppingRetry{50};
 /** The process ends by itself this long before it would be killed. */
 constexpr Milliseconds KillMargin{400};
 /** What the gateway has to store before its end is written this long before it would be killed. */
@@ -262,6 +265,10 @@
         refuse(exchange, facts, fresh ? NotFound : Unavailable, "no route", fresh ? std::nullopt : std::optional(NotReadyRetry));
         return;
     }
+    if (stopping_ && !endsBeforeStop(*route, facts)) {
+        refuse(exchange, facts, Unavailable, "stopping", StoppingRetry);
+        return;
+    }
     AdmittedRequest request;
     request.facts = std::move(facts);
     if (catalogue_->needsKeys() && !route->anonymous) {
@@ -289,6 +296,13 @@
     std::make_shared<ForwardedRequest>(forwarding_, exchange, std::move(request))->start();
 }
 
+bool PlatformGateway::endsBeforeStop(const Route &route, const Platform::CallerFacts &facts) const
+{
+    const Duration since = suspendAwareNow() - stoppedAt_;
+    const Duration longest = std::min<Duration>(route.timeout, facts.patience.value_or(route.timeout));
+    return since < FirstRefusal || since + longest < settings_.stopGrace - LeaveMargin;
+}
+
 bool PlatformGateway::spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request, const CustomerQuota &customer)
 {
     const TimePoint now = suspendAwareNow();
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -63,6 +63,8 @@
                 int status,
                 std::string_view reason,
                 std::optional<Milliseconds> retryAfter = std::nullopt);
+    /** A request that is taken now ends before this process does. */
+    bool endsBeforeStop(const Route &route, const Platform::CallerFacts &facts) const;
     /** Answers with a refusal unless the customer may spend the request's units. */
     bool spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request, const CustomerQuota &customer);
     const RoutedService *chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const;
--- a/src/libdelivery/retrybudget.h
+++ b/src/libdelivery/retrybudget.h
@@ -23,9 +23,14 @@
         available_ = std::min(available_ + share_, reserve_);
     }
 
+    bool hasRoom() const
+    {
+        return available_ >= 1;
+    }
+
     bool take()
     {
-        if (available_ < 1) {
+        if (!hasRoom()) {
             return false;
         }
         available_ -= 1;
