Placement: expected wait from own prompts and the load that answers report

Cause: the wait was taken from the latency of the last prompt less its reading time. Ruled out: the stage plan (six readers of nine before traffic), the retry budget. Change: own prompts in progress plus the requests of other gateways that the endpoint's last answer reported, times the mean prompt.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -342,9 +342,9 @@
     if (outcome == AttemptOutcome::Succeeded) {
         const auto handle = Platform::decodePrefilled(call.body);
         if (handle.ok()) {
-            const double reading = static_cast<double>(call.promptTokens) / PlacementOptions{}.prefillTokensPerMs / 1000;
-            context_.loads.waitObserved(call.endpoint.id, now - call.startedAt - fromSeconds(reading), now);
-            context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts);
+            context_.metrics.distribution("prefill_seconds").add(toSeconds(now - call.startedAt));
+            context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
+            context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts, call.promptTokens);
             prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             promptHolder_ = call.endpoint;
             const auto engine
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -15,8 +15,8 @@
 /** An endpoint that refuses work is full, or busy with an order. */
 constexpr Milliseconds FirstRefusalPause{60};
 constexpr Milliseconds LongestRefusalPause{960};
-/** An observed wait counts less and less, and no more after this time. */
-constexpr Milliseconds WaitMemory{300};
+/** A report counts less and less, and no more after this time. */
+constexpr Milliseconds ReportMemory{400};
 
 }
 
@@ -56,13 +56,8 @@
     Load &known = loads_[endpoint];
     known.reported = load;
     known.reportedAt = now;
-}
-
-void EndpointLoads::waitObserved(const std::string &endpoint, Duration wait, TimePoint now)
-{
-    Load &load = loads_[endpoint];
-    load.lastWait = std::max(wait, Duration::zero());
-    load.lastWaitAt = now;
+    const unsigned all = load.running + load.waiting;
+    known.othersReported = all > known.calls ? all - known.calls : 0;
 }
 
 void EndpointLoads::forget(const std::string &endpoint)
@@ -82,15 +77,14 @@
     return now < of(endpoint).avoidUntil;
 }
 
-Duration EndpointLoads::observedWait(const std::string &endpoint, TimePoint now) const
+double EndpointLoads::others(const std::string &endpoint, TimePoint now) const
 {
     const Load &load = of(endpoint);
-    const Duration age = now - load.lastWaitAt;
-    if (age >= WaitMemory) {
-        return Duration::zero();
+    const Duration age = now - load.reportedAt;
+    if (age >= ReportMemory) {
+        return 0;
     }
-    const double weight = 1 - toSeconds(age) / toSeconds(WaitMemory);
-    return fromSeconds(toSeconds(load.lastWait) * weight);
+    return load.othersReported * (1 - toSeconds(age) / toSeconds(ReportMemory));
 }
 
 }
--- a/src/libserving/endpointloads.h
+++ b/src/libserving/endpointloads.h
@@ -31,11 +31,10 @@
         /** Prompt tokens of those calls that the endpoint has to read. */
         std::uint64_t promptTokens = 0;
         ReportedLoad reported;
+        /** Requests of other gateways at that time. */
+        unsigned othersReported = 0;
         /** Meaningful once something was reported. */
         TimePoint reportedAt{};
-        /** Time that the last prompt waited for its turn. */
-        Duration lastWait{};
-        TimePoint lastWaitAt{};
         /** Smoothed share of calls that failed, 0 to 1. */
         double failureRate = 0;
         unsigned silentInARow = 0;
@@ -47,13 +46,12 @@
     void callStarted(const std::string &endpoint, std::uint64_t promptTokens);
     void callEnded(const std::string &endpoint, std::uint64_t promptTokens, AttemptOutcome outcome, TimePoint now);
     void loadReported(const std::string &endpoint, const ReportedLoad &load, TimePoint now);
-    void waitObserved(const std::string &endpoint, Duration wait, TimePoint now);
     void forget(const std::string &endpoint);
 
     const Load &of(const std::string &endpoint) const;
     bool isAvoided(const std::string &endpoint, TimePoint now) const;
-    /** Expected wait of a prompt at the endpoint from what was seen lately, beside this gateway's own calls. */
-    Duration observedWait(const std::string &endpoint, TimePoint now) const;
+    /** Requests of other gateways that the endpoint works on, as far as its last report still tells. */
+    double others(const std::string &endpoint, TimePoint now) const;
 
 private:
     std::unordered_map<std::string, Load> loads_;
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** Age past which a reported load says nothing. */
-constexpr Milliseconds ReportLifetime{1000};
+/** Weight of the newest prompt in the mean. */
+constexpr double MeanWeight = 0.02;
 
 /** The part that names the session: the last one that other requests may share. */
 const std::string &sessionOf(const std::vector<PromptPart> &parts)
@@ -132,23 +132,20 @@
 Duration PlacementPolicy::expectedWait(const EndpointRecord &endpoint, TimePoint now) const
 {
     const auto &load = loads_.of(endpoint.id);
-    const Duration own = fromSeconds(static_cast<double>(load.promptTokens) / options_.prefillTokensPerMs / 1000);
-    return std::max(own, loads_.observedWait(endpoint.id, now));
+    const double tokens = static_cast<double>(load.promptTokens) + loads_.others(endpoint.id, now) * meanTokensToRead_;
+    return fromSeconds(tokens / options_.prefillTokensPerMs / 1000);
 }
 
 double PlacementPolicy::use(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const
 {
     const auto &load = loads_.of(endpoint.id);
-    double work = load.calls;
-    if (now - load.reportedAt < ReportLifetime) {
-        work = std::max<double>(work, load.reported.running + load.reported.waiting);
-    }
     const double distance = endpoint.dataCentre == dataCentre ? 0 : options_.otherDataCentrePenalty;
-    return (work + load.calls) / endpoint.slots + distance + load.failureRate;
+    return (load.calls + loads_.others(endpoint.id, now)) / endpoint.slots + distance + load.failureRate;
 }
 
-void PlacementPolicy::partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts)
+void PlacementPolicy::partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts, std::uint64_t tokensRead)
 {
+    meanTokensToRead_ += MeanWeight * (static_cast<double>(tokensRead) - meanTokensToRead_);
     Memory &memory = memories_[endpoint];
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         const auto it = memory.places.find(parts[i].id);
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -75,8 +75,8 @@
                                               const std::vector<EndpointRecord> &endpoints,
                                               const std::optional<EndpointRecord> &prefill,
                                               TimePoint now) const;
-    /** The endpoint reads these parts, and keeps them for a while. */
-    void partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts);
+    /** The endpoint has read these parts, @p tokensRead of which it did not have, and keeps them for a while. */
+    void partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts, std::uint64_t tokensRead);
     void forget(const std::string &endpoint);
 
 private:
@@ -99,6 +99,8 @@
 
     PlacementOptions options_;
     const EndpointLoads &loads_;
+    /** Tokens that an engine had to read for a prompt, smoothed. */
+    double meanTokensToRead_ = 3000;
     std::unordered_map<std::string, Memory> memories_;
 };
 
