Quotas use the stated overage; decode engines are preferred in the gateway's data centre

Ruled out: counting the exact window (a restarted gateway can't know what its last run spent in it); skew between gateways alone.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -348,7 +348,7 @@
             prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             promptHolder_ = call.endpoint;
             const auto engine
-                = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), call.endpoint, now);
+                = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), now);
             if (engine) {
                 const auto prompt = std::exchange(prompt_, std::nullopt);
                 run(*engine, prompt);
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -50,6 +50,8 @@
 {
     QuotaShareOptions options;
     options.allowance = settings.quotaAllowance * QuotaAllowanceUse;
+    options.overage = settings.quotaOverage * QuotaAllowanceUse;
+    options.window = settings.quotaWindow;
     return options;
 }
 
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -35,7 +35,7 @@
         }
     }
     Placement placement;
-    placement.run = placeDecode(query, endpoints, std::nullopt, now);
+    placement.run = placeDecode(query, endpoints, now);
     placement.verdict = placement.run ? Placement::Verdict::Placed : Placement::Verdict::NoEndpoint;
     return placement;
 }
@@ -74,15 +74,13 @@
 
 std::optional<EndpointRecord> PlacementPolicy::placeDecode(const PlacementQuery &query,
                                                            const std::vector<EndpointRecord> &endpoints,
-                                                           const std::optional<EndpointRecord> &prefill,
                                                            TimePoint now) const
 {
     auto engines = candidates(query, endpoints, EngineStage::Decode, now);
-    const std::string &dataCentre = prefill ? prefill->dataCentre : query.dataCentre;
     std::optional<EndpointRecord> best;
     double bestUse = std::numeric_limits<double>::max();
     for (const auto &engine : engines) {
-        const double engineUse = use(engine, dataCentre, now);
+        const double engineUse = use(engine, query.dataCentre, now);
         if (engineUse < bestUse) {
             bestUse = engineUse;
             best = engine;
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -70,10 +70,9 @@
     PlacementPolicy(PlacementOptions options, const EndpointLoads &loads);
 
     Placement place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
-    /** Chooses the engine that generates for a prompt read at @p prefill. */
+    /** Chooses the engine that generates. One in the gateway's data centre saves sending the request across once more. */
     std::optional<EndpointRecord> placeDecode(const PlacementQuery &query,
                                               const std::vector<EndpointRecord> &endpoints,
-                                              const std::optional<EndpointRecord> &prefill,
                                               TimePoint now) const;
     /** The endpoint has read these parts, @p tokensRead of which it did not have, and keeps them for a while. */
     void partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts, std::uint64_t tokensRead);
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -165,7 +165,8 @@
     const double fraction = fractionOf(customer.name, now);
     const double rate = customer.rate * fraction;
     Bucket &bucket = buckets_[customer.name];
-    fill(bucket, rate, (customer.burst + options_.allowance) * fraction, now);
+    const double beyond = options_.overage * (customer.rate * toSeconds(options_.window) + customer.burst) + options_.allowance;
+    fill(bucket, rate, (customer.burst + beyond) * fraction, now);
     if (bucket.level >= units) {
         bucket.level -= units;
         return {true, {}};
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -61,6 +61,9 @@
     Duration settleTime = std::chrono::milliseconds(5500);
     /** Units beyond rate and burst that all VMs together may spend; evens out what dividing a burst costs. */
     double allowance = 0;
+    /** Part of what a rate and burst give in a window that may be spent beyond it, for the same purpose. */
+    double overage = 0;
+    Duration window = std::chrono::seconds(8);
 };
 
 struct QuotaVerdict
