Placement: prompts that will be late are taken with low urgency; stage plan waits for a stable number of engines

Cause: a prompt that would wait longer than half its target was refused, came back and was refused again, though it could be served late. Ruled out: taking late prompts without low urgency (they delay those that are in time). Change: a late prompt is taken while its wait is below 0.3 of the caller's patience, with low urgency. The plan waits until the number of engines has been the same for 2 s.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -26,6 +26,8 @@
 constexpr int ReturnFraction = 3;
 constexpr Milliseconds ShortestReturn{50};
 constexpr Milliseconds ReturnSpread{400};
+/** Requests that will be late give way to the others; 9 is the least urgent. */
+constexpr int LateUrgency = 8;
 /** Prefill calls for one request. */
 constexpr unsigned MaxPrefills = 2;
 /** Callers are not spread evenly over gateways. */
@@ -114,8 +116,10 @@
         return;
     }
     const TimePoint now = suspendAwareNow();
+    query_.patience = deadline_ - now;
     const Placement placement = context_.placement.place(query_, context_.directory.usable(request_.service->name, now), now);
     noteWork(placement);
+    isLate_ = placement.isLate;
     switch (placement.verdict) {
     case Placement::Verdict::NoEndpoint:
         context_.metrics.counter("requests_without_endpoint_total").add();
@@ -193,6 +197,9 @@
     lastEndpoint_ = endpoint.id;
     context_.loads.callStarted(endpoint.id, promptTokens);
     facts.customer = request_.customer;
+    if (isLate_) {
+        facts.urgency = LateUrgency;
+    }
     facts.endpointId = endpoint.id;
     const unsigned limit = context_.connectionLimit(*request_.service);
     context_.pool.acquire(endpoint, limit, [self = shared_from_this(), endpoint, facts = std::move(facts)](const auto &connection) {
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -134,6 +134,7 @@
     ArrivalCount arrivals_;
     unsigned prefills_ = 0;
     bool workNoted_ = false;
+    bool isLate_ = false;
     bool runBegan_ = false;
     bool done_ = false;
     std::string lastEndpoint_;
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -67,7 +67,9 @@
             best.expectedWait = wait;
         }
     }
-    const bool tooLate = toSeconds(best.expectedWait) > toSeconds(query.targetLatency) * options_.maxWaitShare;
+    const double wait = toSeconds(best.expectedWait);
+    best.isLate = wait > toSeconds(query.targetLatency) * options_.timelyWaitShare;
+    const bool tooLate = best.isLate && wait > toSeconds(query.patience) * options_.maxWaitShare;
     best.verdict = tooLate ? Placement::Verdict::Overloaded : Placement::Verdict::Placed;
     return best;
 }
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -26,8 +26,10 @@
     std::uint64_t wholePromptTokens = 1000;
     /** Tokens that a prefill engine reads in a millisecond. */
     double prefillTokensPerMs = 330;
-    /** The part of the target latency that a prompt may be expected to wait before it is refused. */
-    double maxWaitShare = 0.5;
+    /** The part of the target latency that a prompt may be expected to wait and still be in time. */
+    double timelyWaitShare = 0.5;
+    /** The part of the caller's patience that a prompt may be expected to wait before it is refused. */
+    double maxWaitShare = 0.3;
     /** Cost of a lower place in a session's order of engines, so that gateways agree where a new session goes. */
     Duration rankPenalty = std::chrono::milliseconds(2);
     /** Extra load that an endpoint in another data centre is taken to have, in parts of its slots. */
@@ -42,6 +44,8 @@
     std::vector<PromptPart> parts;
     std::uint64_t promptTokens = 0;
     Duration targetLatency{};
+    /** How long the caller will still wait. */
+    Duration patience{};
     /** Endpoints that were tried already. */
     std::set<std::string> excluded;
 };
@@ -62,6 +66,8 @@
     std::uint64_t tokensToRead = 0;
     std::optional<EndpointRecord> run;
     Duration expectedWait{};
+    /** It will not be in time, and gives way to those that will. */
+    bool isLate = false;
 };
 
 class PlacementPolicy
--- a/src/libserving/stageplan.cpp
+++ b/src/libserving/stageplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Chestnutcove {
 
@@ -101,7 +102,10 @@
     average(work, now);
     std::vector<StageChange> changes;
     const auto count = static_cast<unsigned>(engines.size());
-    if (count < 2) {
+    if (std::exchange(count_, engines.size()) != engines.size()) {
+        countSince_ = now;
+    }
+    if (count < 2 || now - countSince_ < options_.countSettles) {
         return changes;
     }
     auto readers = static_cast<unsigned>(
--- a/src/libserving/stageplan.h
+++ b/src/libserving/stageplan.h
@@ -50,6 +50,8 @@
     Duration dwell = std::chrono::seconds(10);
     /** Time over which work is averaged, so that short swings are left to routing. */
     Duration average = std::chrono::seconds(15);
+    /** The number of engines must have stayed the same for this long, since engines become known one after the other. */
+    Duration countSettles = std::chrono::seconds(2);
     /** Work must have been seen for this long before the plan follows it. */
     Duration firstLook = std::chrono::seconds(8);
     /** Engines that may be away for a change at the same time, as a part of all. */
@@ -86,6 +88,9 @@
     void average(const std::optional<EngineWork> &work, TimePoint now);
 
     StagePlanOptions options_;
+    /** Number of engines at the last call, and since when it has been the same. */
+    std::size_t count_ = 0;
+    TimePoint countSince_{};
     /** Number of engines when the last change was planned. */
     std::size_t plannedFor_ = 0;
     std::optional<TimePoint> lastChange_;
