--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,7 +32,7 @@
 cmake --build "$build"
 
 sources() {
-    find src tests bench -name '*.h' -o -name '*.cpp' | grep -v '\.pb\.' | sort
+    find src platform tests bench -name '*.h' -o -name '*.cpp' | grep -v '\.pb\.' | sort
 }
 if [ "$checks" = yes ]; then
     sources | xargs clang-format --dry-run --Werror
--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -107,6 +107,7 @@
         statusesKnown_ = false;
         return;
     }
+    stages_.orderDue(now);
     if (now >= nextLead_) {
         nextLead_ = now + LeadInterval;
         readStatuses();
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -354,8 +354,7 @@
             context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts, call.promptTokens);
             prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             promptHolder_ = call.endpoint;
-            const auto engine
-                = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), now);
+            const auto engine = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), now);
             if (engine) {
                 const auto prompt = std::exchange(prompt_, std::nullopt);
                 run(*engine, prompt);
--- a/src/chestnutcove/stageorders.cpp
+++ b/src/chestnutcove/stageorders.cpp
@@ -72,14 +72,14 @@
                    {"busySlots", work ? std::to_string(work->busySlots) : "assumed"},
                    {"epoch", std::to_string(lease_.keeper().epoch())}});
         const Duration stageChange = service.engine->stageChange;
-        ordered_[change.engine.id]
-            = {change.stage, now + AnnouncementDelay + stageChange + EntryDelay, now + AnnouncementDelay, change, stageChange};
+        const Duration delay = change.isUrgent ? Duration::zero() : Duration(AnnouncementDelay);
+        ordered_[change.engine.id] = {change.stage, now + delay + stageChange + EntryDelay, now + delay, change, stageChange};
         announced = true;
     }
     if (announced) {
         announce();
     }
-    orderAnnounced(now);
+    orderDue(now);
 }
 
 void StageOrders::announce()
@@ -115,7 +115,7 @@
     return stages;
 }
 
-void StageOrders::orderAnnounced(TimePoint now)
+void StageOrders::orderDue(TimePoint now)
 {
     std::vector<Ordered> due;
     for (auto &[id, ordered] : ordered_) {
--- a/src/chestnutcove/stageorders.h
+++ b/src/chestnutcove/stageorders.h
@@ -40,6 +40,8 @@
     /** Plans and orders for one service. @param work over all gateways; nothing while none was seen. */
     void
     tick(const RoutedService &service, const std::vector<EndpointRecord> &engines, const std::optional<EngineWork> &work, TimePoint now);
+    /** Gives the orders that were announced long enough ago. To be called several times a second. */
+    void orderDue(TimePoint now);
 
 private:
     struct Ordered
@@ -54,7 +56,6 @@
     };
 
     void announce();
-    void orderAnnounced(TimePoint now);
     void ask(const StageChange &change, Duration stageChange);
     void order(const StageChange &change, const Platform::EngineReport &report, Duration stageChange);
     void call(const EndpointRecord &engine, Platform::EncodedCall encoded, std::function<void(int status, const std::string &body)> onDone);
--- a/src/libserving/arrivalcount.h
+++ b/src/libserving/arrivalcount.h
@@ -1,6 +1,6 @@
 /**
- * Counts the arrivals of one request at endpoints, as the fleet's retry budget sees them: the first is free, and so is the first prefill call
- * that an engine accepts. Everything else is a repeat.
+ * Counts the arrivals of one request at endpoints, as the fleet's retry budget sees them: the first is free, and so is the first prefill
+ * call that an engine accepts. Everything else is a repeat.
  */
 #pragma once
 
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -74,9 +74,8 @@
     return best;
 }
 
-std::optional<EndpointRecord> PlacementPolicy::placeDecode(const PlacementQuery &query,
-                                                           const std::vector<EndpointRecord> &endpoints,
-                                                           TimePoint now) const
+std::optional<EndpointRecord>
+PlacementPolicy::placeDecode(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
     auto engines = candidates(query, endpoints, EngineStage::Decode, now);
     std::optional<EndpointRecord> best;
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -77,9 +77,8 @@
 
     Placement place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
     /** Chooses the engine that generates. One in the gateway's data centre saves sending the request across once more. */
-    std::optional<EndpointRecord> placeDecode(const PlacementQuery &query,
-                                              const std::vector<EndpointRecord> &endpoints,
-                                              TimePoint now) const;
+    std::optional<EndpointRecord>
+    placeDecode(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
     /** The endpoint has read these parts, @p tokensRead of which it did not have, and keeps them for a while. */
     void partsRead(const std::string &endpoint, const std::vector<PromptPart> &parts, std::uint64_t tokensRead);
     void forget(const std::string &endpoint);
--- a/src/libserving/stageplan.cpp
+++ b/src/libserving/stageplan.cpp
@@ -68,8 +68,9 @@
     if (engines < 2) {
         return 0;
     }
-    unsigned best = 1;
-    for (unsigned readers = 2; readers < engines; ++readers) {
+    const unsigned least = engines >= 2 * options_.leastOfAStage ? options_.leastOfAStage : 1;
+    unsigned best = least;
+    for (unsigned readers = least + 1; readers <= engines - least; ++readers) {
         if (use(readers, engines - readers, traits, work) < use(best, engines - best, traits, work)) {
             best = readers;
         }
@@ -105,7 +106,7 @@
     if (std::exchange(count_, engines.size()) != engines.size()) {
         countSince_ = now;
     }
-    if (count < 2 || now - countSince_ < options_.countSettles) {
+    if (count < 2) {
         return changes;
     }
     auto readers = static_cast<unsigned>(
@@ -114,13 +115,14 @@
     const EngineWork current = seen ? averaged_ : options_.assumed;
     const unsigned wanted = readersFor(count, traits, current);
     const bool missing = readers == 0 || readers == count;
+    const bool settled = now - countSince_ >= options_.countSettles;
     const bool fleetChanged = plannedFor_ != engines.size();
     const double gain = workSince_ ? options_.worthwhileGain : 1;
     const bool pays = missing || use(readers, count - readers, traits, current) > use(wanted, count - wanted, traits, current) * gain;
     // While work has not been seen for long enough, the plan stays as it is.
     const bool undecided = workSince_ && !seen;
     const bool dwelt = !undecided && (!lastChange_ || now - *lastChange_ >= options_.dwell);
-    if (wanted == readers || !pays || !(missing || fleetChanged || dwelt)) {
+    if (wanted == readers || !pays || !(missing || (settled && (fleetChanged || dwelt)))) {
         return changes;
     }
     const auto mayBeAway = static_cast<unsigned>(std::max(1.0, std::floor(count * options_.maxAway)));
@@ -129,7 +131,7 @@
         const EngineStage from = readers < wanted ? EngineStage::Decode : EngineStage::Prefill;
         const EngineStage to = readers < wanted ? EngineStage::Prefill : EngineStage::Decode;
         const auto engine = planned.begin() + (pickEngine(planned, from) - planned.cbegin());
-        changes.push_back({*engine, to});
+        changes.push_back({*engine, to, missing});
         engine->stage = to;
         readers += readers < wanted ? 1 : -1;
     }
--- a/src/libserving/stageplan.h
+++ b/src/libserving/stageplan.h
@@ -54,6 +54,8 @@
     Duration countSettles = std::chrono::seconds(2);
     /** Work must have been seen for this long before the plan follows it. */
     Duration firstLook = std::chrono::seconds(8);
+    /** Engines that each stage keeps where there are twice as many or more, so that the loss of one doesn't stop the service. */
+    unsigned leastOfAStage = 2;
     /** Engines that may be away for a change at the same time, as a part of all. */
     double maxAway = 0.5;
 };
@@ -62,6 +64,8 @@
 {
     EndpointRecord engine;
     EngineStage stage = EngineStage::Decode;
+    /** No engine has that stage: the service stands still until the change is made. */
+    bool isUrgent = false;
 };
 
 class StagePlan
@@ -69,7 +73,7 @@
 public:
     explicit StagePlan(StagePlanOptions options);
 
-    /** Number of engines out of @p engines that should read prompts; between 1 and engines - 1 where there are two or more. */
+    /** Number of engines out of @p engines that should read prompts; at least one for each stage where there are two or more. */
     unsigned readersFor(unsigned engines, const EngineTraits &traits, const EngineWork &work) const;
 
     /**
--- /dev/null
+++ b/tests/proxy/proxy_test.cpp
@@ -0,0 +1,417 @@
+/**
+ * The connections to callers and endpoints, over real sockets on loopback: calls are sent once, cut answers are never whole, bytes that
+ * belong to no request spoil nothing, and a caller's leaving is noticed.
+ */
+#include "callerserver.h"
+#include "endpointpool.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+
+namespace Chestnutcove {
+
+namespace {
+
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+constexpr const char *WholeAnswer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\nhello";
+
+/** What a scripted endpoint does when a request has arrived. */
+struct Script
+{
+    enum class Then {
+        KeepOpen,
+        Close,
+        Reset,
+    };
+
+    std::string answer;
+    Then then = Then::KeepOpen;
+};
+
+/** Accepts connections and plays the scripts in turn, one for each request. */
+class ScriptedEndpoint
+{
+public:
+    explicit ScriptedEndpoint(asio::io_context &context)
+        : acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    EndpointRecord record() const
+    {
+        EndpointRecord result;
+        result.id = "endpoint";
+        result.address = {"127.0.0.1", acceptor_.local_endpoint().port()};
+        return result;
+    }
+
+    std::deque<Script> scripts;
+    int connections = 0;
+    int requests = 0;
+
+private:
+    struct Peer
+    {
+        explicit Peer(tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        tcp::socket socket;
+        asio::streambuf input;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const std::error_code &error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            ++connections;
+            read(std::make_shared<Peer>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Peer> &peer)
+    {
+        asio::async_read_until(peer->socket, peer->input, "\r\n\r\n", [this, peer](const std::error_code &error, std::size_t size) {
+            if (error) {
+                return;
+            }
+            peer->input.consume(size);
+            ++requests;
+            play(peer);
+        });
+    }
+
+    void play(const std::shared_ptr<Peer> &peer)
+    {
+        if (scripts.empty()) {
+            return;
+        }
+        const Script script = scripts.front();
+        scripts.pop_front();
+        asio::write(peer->socket, asio::buffer(script.answer));
+        if (script.then == Script::Then::Reset) {
+            peer->socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        if (script.then != Script::Then::KeepOpen) {
+            peer->socket.close();
+            return;
+        }
+        read(peer);
+    }
+
+    tcp::acceptor acceptor_;
+};
+
+class EndpointCallsTest : public testing::Test
+{
+protected:
+    struct Outcome
+    {
+        std::optional<CallEnd> end;
+        int status = 0;
+        std::string body;
+        bool connected = false;
+    };
+
+    Outcome call(const std::string &method = "GET")
+    {
+        auto outcome = std::make_shared<Outcome>();
+        const EndpointRecord record = endpoint_.record();
+        pool_.acquire(record, 0, [this, outcome, record, method](const auto &connection) {
+            if (!connection.ok()) {
+                return;
+            }
+            outcome->connected = true;
+            ConnectionCall message;
+            message.head = {method, "/", {{"Host", "endpoint"}}};
+            message.isOurs = [](const ResponseHead &head) {
+                const HeaderField *id = findField(head.fields, "X-Id");
+                return id != nullptr && id->value == "mine";
+            };
+            message.onHead = [outcome](const ResponseHead &head, std::optional<std::uint64_t>) { outcome->status = head.status; };
+            message.onBody = [outcome](std::string_view bytes) { outcome->body += bytes; };
+            message.onEnd = [this, outcome, record, connection = *connection](CallEnd end) {
+                outcome->end = end;
+                pool_.release(record, connection);
+            };
+            (*connection)->send(std::move(message));
+        });
+        context_.restart();
+        context_.run_for(150ms);
+        return *outcome;
+    }
+
+    Outcome callWith(const std::string &answer, Script::Then then)
+    {
+        endpoint_.scripts = {{answer, then}};
+        return call();
+    }
+
+    asio::io_context context_;
+    ScriptedEndpoint endpoint_{context_};
+    EndpointPool pool_{context_, EndpointPoolOptions{}};
+};
+
+TEST_F(EndpointCallsTest, WholeAnswers_TwoCalls_ShareOneConnection)
+{
+    endpoint_.scripts = {{WholeAnswer, Script::Then::KeepOpen}, {WholeAnswer, Script::Then::KeepOpen}};
+    EXPECT_EQ(call().end, CallEnd::Complete);
+    const Outcome second = call();
+    EXPECT_EQ(second.end, CallEnd::Complete);
+    EXPECT_EQ(second.body, "hello");
+    EXPECT_EQ(endpoint_.connections, 1);
+}
+
+TEST_F(EndpointCallsTest, ConnectionClosesWithoutAnswer_Call_IsNotRepeated)
+{
+    endpoint_.scripts = {{WholeAnswer, Script::Then::KeepOpen}, {"", Script::Then::Close}, {WholeAnswer, Script::Then::KeepOpen}};
+    call();
+    EXPECT_EQ(call("POST").end, CallEnd::NoAnswer);
+    EXPECT_EQ(endpoint_.requests, 2);
+}
+
+TEST_F(EndpointCallsTest, AnswerCutAtEachByte_Call_IsNeverComplete)
+{
+    const std::string whole = WholeAnswer;
+    for (std::size_t size = 0; size < whole.size(); size += 7) {
+        EXPECT_NE(callWith(whole.substr(0, size), Script::Then::Close).end, CallEnd::Complete) << size;
+    }
+}
+
+TEST_F(EndpointCallsTest, ChunkedAnswerWithoutItsEnd_Call_IsBroken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EXPECT_EQ(callWith(head + "5\r\nhello\r\n", Script::Then::Close).end, CallEnd::Broken);
+    EXPECT_EQ(callWith(head + "5\r\nhello\r\n0\r\n\r\n", Script::Then::KeepOpen).end, CallEnd::Complete);
+}
+
+TEST_F(EndpointCallsTest, AnswerWithoutLength_EndOfConnection_CompletesItOnlyWhenOrderly)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nhello";
+    const Outcome closed = callWith(answer, Script::Then::Close);
+    EXPECT_EQ(closed.end, CallEnd::Complete);
+    EXPECT_EQ(closed.body, "hello");
+    EXPECT_NE(callWith(answer, Script::Then::Reset).end, CallEnd::Complete);
+}
+
+TEST_F(EndpointCallsTest, BytesThatAreNoAnswer_Call_IsBroken)
+{
+    EXPECT_EQ(callWith("nonsense nonsense\r\n\r\n", Script::Then::KeepOpen).end, CallEnd::Broken);
+}
+
+TEST_F(EndpointCallsTest, LateAnswerToAnotherRequestComesFirst_Call_GetsItsOwn)
+{
+    const std::string other = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong";
+    const Outcome outcome = callWith(other + WholeAnswer, Script::Then::KeepOpen);
+    EXPECT_EQ(outcome.end, CallEnd::Complete);
+    EXPECT_EQ(outcome.body, "hello");
+}
+
+TEST_F(EndpointCallsTest, InterimAnswerComesFirst_Call_GetsTheFinalOne)
+{
+    EXPECT_EQ(callWith(std::string("HTTP/1.1 100 Continue\r\n\r\n") + WholeAnswer, Script::Then::KeepOpen).status, 200);
+}
+
+TEST_F(EndpointCallsTest, ExtraBytesAfterTheAnswer_NextCall_UsesANewConnection)
+{
+    endpoint_.scripts = {{std::string(WholeAnswer) + WholeAnswer, Script::Then::KeepOpen}, {WholeAnswer, Script::Then::KeepOpen}};
+    EXPECT_EQ(call().end, CallEnd::Complete);
+    EXPECT_EQ(call().end, CallEnd::Complete);
+    EXPECT_EQ(endpoint_.connections, 2);
+}
+
+TEST_F(EndpointCallsTest, EndpointAnnouncesClose_NextCall_UsesANewConnection)
+{
+    const std::string closing = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello";
+    endpoint_.scripts = {{closing, Script::Then::KeepOpen}, {WholeAnswer, Script::Then::KeepOpen}};
+    call();
+    EXPECT_EQ(call().end, CallEnd::Complete);
+    EXPECT_EQ(endpoint_.connections, 2);
+}
+
+TEST_F(EndpointCallsTest, NobodyListens_Call_IsNotSent)
+{
+    EndpointRecord record;
+    record.id = "nobody";
+    record.address = {"127.0.0.1", 1};
+    absl::Status status;
+    pool_.acquire(record, 0, [&status](const auto &connection) { status = connection.status(); });
+    context_.run_for(150ms);
+    EXPECT_TRUE(absl::IsUnavailable(status));
+}
+
+TEST_F(EndpointCallsTest, LimitOfConnectionsReached_FurtherCall_IsRefusedAtOnce)
+{
+    absl::Status status;
+    pool_.acquire(endpoint_.record(), 1, [](const auto &) {});
+    pool_.acquire(endpoint_.record(), 1, [&status](const auto &connection) { status = connection.status(); });
+    EXPECT_TRUE(absl::IsResourceExhausted(status));
+    context_.run_for(50ms);
+}
+
+class CallerServerTest : public testing::Test
+{
+protected:
+    CallerServerTest()
+    {
+        client_.connect(tcp::endpoint(asio::ip::address_v4::loopback(), server_.port()));
+        client_.non_blocking(true);
+    }
+
+    void send(const std::string &bytes)
+    {
+        asio::write(client_, asio::buffer(bytes));
+        run();
+    }
+
+    void run()
+    {
+        context_.restart();
+        context_.run_for(60ms);
+        std::array<char, 4096> buffer{};
+        std::error_code error;
+        std::size_t size = 0;
+        while ((size = client_.read_some(asio::buffer(buffer), error)) > 0) {
+            received_.append(buffer.data(), size);
+        }
+        ended_ = ended_ || error == asio::error::eof;
+    }
+
+    CallerLimits limits_{200, 100, Milliseconds(100), Milliseconds(300)};
+    asio::io_context context_;
+    std::vector<std::shared_ptr<CallerExchange>> exchanges_;
+    CallerServer server_{context_,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+                         [this] { return limits_; },
+                         [this](const auto &exchange) { exchanges_.push_back(exchange); }};
+    tcp::socket client_{context_};
+    std::string received_;
+    bool ended_ = false;
+};
+
+TEST_F(CallerServerTest, RequestWithBody_Arrives_IsHandedOnWholeAndAnswered)
+{
+    send("POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nContent-Length: 5\r\n\r\nhel");
+    EXPECT_TRUE(exchanges_.empty());
+    send("lo");
+    ASSERT_EQ(exchanges_.size(), 1U);
+    EXPECT_EQ(exchanges_[0]->head().target, "/a?b=1");
+    EXPECT_EQ(exchanges_[0]->body(), "hello");
+    exchanges_[0]->answer({200, "OK", {{"X-Two", "2"}}}, "bye");
+    run();
+    EXPECT_EQ(received_, "HTTP/1.1 200 OK\r\nX-Two: 2\r\nContent-Length: 3\r\n\r\nbye");
+    EXPECT_FALSE(ended_);
+}
+
+TEST_F(CallerServerTest, SecondRequestBeforeTheFirstAnswer_Arrives_IsHandedOnAfterIt)
+{
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_EQ(exchanges_.size(), 1U);
+    exchanges_[0]->answer({200, "OK", {}}, "");
+    run();
+    ASSERT_EQ(exchanges_.size(), 2U);
+    EXPECT_EQ(exchanges_[1]->head().target, "/2");
+}
+
+TEST_F(CallerServerTest, CallerLeaves_AnswerPending_IsNoticed)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    bool gone = false;
+    exchanges_.at(0)->onCallerGone([&gone] { gone = true; });
+    client_.close();
+    context_.restart();
+    context_.run_for(50ms);
+    EXPECT_TRUE(gone);
+    EXPECT_FALSE(exchanges_[0]->isOpen());
+}
+
+TEST_F(CallerServerTest, StreamAborted_Caller_SeesNoCompleteAnswer)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    exchanges_.at(0)->begin({200, "OK", {}}, std::nullopt);
+    exchanges_[0]->send("data: 1\n\n");
+    run();
+    exchanges_[0]->abort();
+    run();
+    EXPECT_NE(received_.find("data: 1"), std::string::npos);
+    EXPECT_EQ(received_.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(CallerServerTest, StreamEnds_Caller_GetsTheLastChunkAndKeepsItsConnection)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    exchanges_.at(0)->begin({200, "OK", {}}, std::nullopt);
+    exchanges_[0]->send("0123456789abcdef");
+    exchanges_[0]->end();
+    run();
+    EXPECT_NE(received_.find("\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n"), std::string::npos);
+    EXPECT_FALSE(ended_);
+}
+
+TEST_F(CallerServerTest, LengthAndChunksBothStated_Request_IsRefused)
+{
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    EXPECT_TRUE(exchanges_.empty());
+    EXPECT_TRUE(received_.starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(ended_);
+}
+
+TEST_F(CallerServerTest, HeadTooLarge_Request_IsRefused)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(300, 'x'));
+    EXPECT_TRUE(received_.starts_with("HTTP/1.1 431"));
+}
+
+TEST_F(CallerServerTest, BodyTooLarge_Request_IsRefusedBeforeItIsRead)
+{
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+    EXPECT_TRUE(received_.starts_with("HTTP/1.1 413"));
+}
+
+TEST_F(CallerServerTest, HeadNeverEnds_TimeIsUp_ConnectionIsRefused)
+{
+    send("GET / HTTP/1.1\r\nHos");
+    context_.restart();
+    context_.run_for(150ms);
+    server_.sweep(std::chrono::steady_clock::now() + 10s);
+    run();
+    EXPECT_TRUE(received_.starts_with("HTTP/1.1 408"));
+}
+
+TEST_F(CallerServerTest, StopAnnounced_NextAnswer_EndsTheConnection)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    server_.announceClose();
+    exchanges_.at(0)->answer({200, "OK", {}}, "");
+    run();
+    EXPECT_NE(received_.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(ended_);
+}
+
+TEST_F(CallerServerTest, IdleConnection_CloseIdle_EndsItPolitely)
+{
+    run();
+    server_.closeIdle();
+    run();
+    EXPECT_TRUE(ended_);
+    EXPECT_TRUE(received_.empty());
+}
+
+}
+
+}
--- a/tests/serving/stageplan_test.cpp
+++ b/tests/serving/stageplan_test.cpp
@@ -126,6 +126,24 @@
     EXPECT_LT(readers(), 4U);
 }
 
+TEST_F(StagePlanTest, PromptsOnlyForAMinute_FourEngines_TwoKeepGenerating)
+{
+    addEngines(4, 2);
+    settle(std::nullopt);
+    for (int second = 0; second < 60; ++second) {
+        step(EngineWork{2000, 6000, 0, 2});
+    }
+    EXPECT_EQ(readers(), 2U);
+}
+
+TEST_F(StagePlanTest, LastEngineThatGeneratesIsLost_NextPlan_DoesNotWaitForTheNumberToSettle)
+{
+    addEngines(8, 8);
+    const auto changes = plan_.plan(engines_, 0, traits(), EngineWork{700, 2250, 0, 40}, now_ + 1s);
+    ASSERT_FALSE(changes.empty());
+    EXPECT_TRUE(changes.front().isUrgent);
+}
+
 TEST_F(StagePlanTest, OneEngineOnly_AnyWork_StaysAsItIs)
 {
     addEngines(1, 0);
--- /dev/null
+++ b/tests/usersplatform/decoders_test.cpp
@@ -0,0 +1,298 @@
+/**
+ * The adapter to the users' platform: every message is decoded into the project's types, and what can't be read loses nothing else.
+ */
+#include "platformsettings.h"
+#include "requestcodec.h"
+#include "rowdecoder.h"
+#include "storeformat.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Chestnutcove::Platform {
+
+namespace {
+
+constexpr const char *Settings = "node=front-1\nzone=dc-a\nip=10.1.0.16\nlisten.front=10.1.0.16:8360\nlisten.ready=10.1.0.16:8365\n"
+                                 "platform.address=10.2.0.7:8361\ncloud.address=10.2.0.9:8361\ncloud.duties=usage_report,autoscale\n"
+                                 "bounds.revoke_ms=4000\nbounds.grace_s=6\nsomething.new=1\n";
+
+constexpr const char *Configuration = R"({"version":7,
+  "routes":[{"name":"r1","host":"A.example","path_prefix":"/a/","kind":"streaming","timeout_ms":15000,"target_latency_ms":120,"priority":1,
+             "service":"lm","max_attempts":2,"anonymous":false,"sticky":true,"resumable":true,"gap_aim_ms":150},
+            {"name":"r2","host":"a.example","path_prefix":"/a/b/","kind":"idempotent","timeout_ms":1000,
+             "traffic_split":[{"service":"lm","weight":90},{"service":"app","weight":10}]},
+            {"name":"bad","host":"a.example","path_prefix":"/c/","kind":"unknown","service":"lm"}, 5],
+  "services":[{"name":"lm","health_path":"/h","max_connections":240,
+               "engine":{"slots":32,"kv_capacity":1000,"kv_token_bytes":10,"link_mbps":2.5,"role_switch_s":3.0,"kv_hold_s":5.0}},{"name":"app"}],
+  "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400},
+  "tenants":[{"name":"t1","api_keys":["k1","k2"],"unit":"tokens","plain_tokens":200,"rate_per_s":50,"burst":60}]})";
+
+constexpr const char *Entry = R"({"service":"lm","address":"10.1.0.9:8080","zone":"dc-a","version":"v1","slots":32,"state":"ready",
+  "cold_remaining_ms":5,"stage":"decode","models":[],"seq":4,"born":1700000000000})";
+
+RequestHead headWith(HeaderFields fields)
+{
+    return {"POST", "/a/x?y=1", std::move(fields)};
+}
+
+std::string valueIn(const HeaderFields &fields, std::string_view name)
+{
+    const HeaderField *field = findField(fields, name);
+    return field == nullptr ? "(absent)" : field->value;
+}
+
+}
+
+TEST(PlatformSettings, AllLinesGood_Parsed_GivesTypedFields)
+{
+    const auto settings = parseSettings(Settings);
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->vmName, "front-1");
+    EXPECT_EQ(settings->dataCentre, "dc-a");
+    EXPECT_EQ(settings->callerListen->text(), "10.1.0.16:8360");
+    EXPECT_EQ(settings->keyRevocation, Milliseconds(4000));
+    EXPECT_EQ(settings->stopGrace, Milliseconds(6000));
+    EXPECT_TRUE(settings->reportsUsage);
+    EXPECT_TRUE(settings->ordersEndpoints);
+}
+
+TEST(PlatformSettings, SeveralLinesWrong_Parsed_AllFaultsAreNamed)
+{
+    const auto settings = parseSettings("node=x\nplatform.address=nowhere\nbounds.revoke_ms=soon\n");
+    ASSERT_FALSE(settings.ok());
+    for (const char *name : {"zone", "ip", "platform.address", "bounds.revoke_ms"}) {
+        EXPECT_NE(settings.status().message().find(name), std::string_view::npos) << name;
+    }
+}
+
+TEST(Configuration, GoodRow_Decoded_RoutesServicesAndCustomersAreThere)
+{
+    auto data = decodeConfiguration(Configuration);
+    ASSERT_TRUE(data.ok());
+    const RouteCatalogue catalogue(*data);
+    EXPECT_EQ(catalogue.version(), 7U);
+    ASSERT_EQ(catalogue.routes().size(), 2U) << "unreadable routes are left out";
+    EXPECT_EQ(catalogue.findRoute("a.example:80", "/a/b/c")->name, "r2");
+    EXPECT_EQ(catalogue.findRoute("a.EXAMPLE", "/a/c")->name, "r1");
+    EXPECT_EQ(catalogue.findRoute("a.example", "/b/"), nullptr);
+    EXPECT_EQ(catalogue.findRoute("b.example", "/a/"), nullptr);
+    EXPECT_TRUE(catalogue.findRoute("a.example", "/a/")->resumable);
+    EXPECT_EQ(catalogue.findRoute("a.example", "/a/b/")->services.size(), 2U);
+    EXPECT_EQ(catalogue.findService("lm")->engine->slots, 32U);
+    EXPECT_FALSE(catalogue.findService("app")->engine.has_value());
+    EXPECT_EQ(catalogue.customerOfKey("k2")->name, "t1");
+    EXPECT_EQ(catalogue.customerOfKey("k3"), nullptr);
+    EXPECT_EQ(catalogue.limits().idleTimeout, Milliseconds(400));
+}
+
+TEST(Configuration, NotAnObjectOrNoVersion_Decoded_IsRefusedAsAWhole)
+{
+    EXPECT_FALSE(decodeConfiguration("").ok());
+    EXPECT_FALSE(decodeConfiguration("[]").ok());
+    EXPECT_FALSE(decodeConfiguration(R"({"routes":[]})").ok());
+    EXPECT_FALSE(decodeConfiguration(R"({"version":"7"})").ok());
+}
+
+TEST(EndpointEntry, GoodRow_Decoded_GivesARecord)
+{
+    const auto record = decodeEndpoint("i-1", Entry);
+    ASSERT_TRUE(record.ok());
+    EXPECT_EQ(record->address.text(), "10.1.0.9:8080");
+    EXPECT_EQ(record->stage, EngineStage::Decode);
+    EXPECT_EQ(record->startedAt, 1700000000000U);
+    EXPECT_FALSE(record->draining);
+}
+
+TEST(EndpointEntry, FieldMissingOrOfAnotherTypeOrUnknown_Decoded_NamesNoEndpoint)
+{
+    for (const char *value : {"",
+                              "\xff\xfe",
+                              "{}",
+                              R"({"service":1,"address":"10.1.0.9:80","zone":"z","slots":1,"state":"ready"})",
+                              R"({"service":"s","address":"10.1.0.9","zone":"z","slots":1,"state":"ready"})",
+                              R"({"service":"s","address":"10.1.0.9:0","zone":"z","slots":1,"state":"ready"})",
+                              R"({"service":"s","address":"10.1.0.9:99999","zone":"z","slots":1,"state":"ready"})",
+                              R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":"1","state":"ready"})",
+                              R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":1,"state":"resting"})",
+                              R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":1,"state":"ready","stage":"other"})"}) {
+        EXPECT_FALSE(decodeEndpoint("i-1", value).ok()) << value;
+    }
+}
+
+TEST(Request, AllFieldsGiven_Decoded_FactsAreTyped)
+{
+    const auto facts = decodeRequest(headWith({{"attempt-id", "a1"},
+                                               {"Deadline-Ms", "1500"},
+                                               {"X-Api-Key", " k1 "},
+                                               {"Token-Counts", "1460,80"},
+                                               {"Prompt-Prefix", "5c:800,91:410,e4:250"}}));
+    EXPECT_EQ(facts.requestId, "a1");
+    EXPECT_EQ(facts.patience, Milliseconds(1500));
+    EXPECT_EQ(facts.key, "k1");
+    EXPECT_EQ(facts.promptTokens, 1460U);
+    EXPECT_EQ(facts.maxOutputTokens, 80U);
+    ASSERT_EQ(facts.promptParts.size(), 3U);
+    EXPECT_EQ(facts.promptParts[1].tokens, 410U);
+}
+
+TEST(Request, FieldsMalformed_Decoded_AreTreatedAsAbsent)
+{
+    const auto facts = decodeRequest(headWith({{"Deadline-Ms", "soon"}, {"Token-Counts", "1"}, {"Prompt-Prefix", "5c:x"}}));
+    EXPECT_FALSE(facts.patience.has_value());
+    EXPECT_FALSE(facts.promptTokens.has_value());
+    EXPECT_TRUE(facts.promptParts.empty());
+}
+
+TEST(Request, CallerSendsSystemFieldsAndKey_Encoded_TheyAreReplacedOrDropped)
+{
+    ForwardingFacts facts;
+    facts.customer = "t1";
+    facts.timeLeft = Milliseconds(900);
+    facts.endpointId = "i-1";
+    const auto head = encodeRequest(headWith({{"Host", "a.example"},
+                                              {"Attempt-Id", "a1"},
+                                              {"X-Api-Key", "secret"},
+                                              {"Tenant", "someone-else"},
+                                              {"Kv-Source", "10.1.1.1:1/abc"},
+                                              {"Kv-Hold", "1"},
+                                              {"Kv-Backup", "1"},
+                                              {"Pin-Ms", "1"},
+                                              {"Stage", "prefill"},
+                                              {"Request-Urgency", "0"},
+                                              {"Deadline-Ms", "99999"},
+                                              {"Connection", "keep-alive, X-Hop"},
+                                              {"X-Hop", "1"},
+                                              {"Keep-Alive", "5"},
+                                              {"Transfer-Encoding", "chunked"},
+                                              {"X-Other", "kept"}}),
+                                    facts);
+    EXPECT_EQ(head.target, "/a/x?y=1");
+    EXPECT_EQ(valueIn(head.fields, "Tenant"), "t1");
+    EXPECT_EQ(valueIn(head.fields, "Deadline-Ms"), "900");
+    EXPECT_EQ(valueIn(head.fields, "Expect-Instance"), "i-1");
+    EXPECT_EQ(valueIn(head.fields, "Attempt-Id"), "a1");
+    EXPECT_EQ(valueIn(head.fields, "X-Other"), "kept");
+    for (const char *name : {"X-Api-Key",
+                             "Kv-Source",
+                             "Kv-Hold",
+                             "Kv-Backup",
+                             "Pin-Ms",
+                             "Stage",
+                             "Request-Urgency",
+                             "X-Hop",
+                             "Keep-Alive",
+                             "Transfer-Encoding"}) {
+        EXPECT_EQ(valueIn(head.fields, name), "(absent)") << name;
+    }
+}
+
+TEST(Request, PromptWasReadElsewhere_Encoded_NamesEngineAndHandle)
+{
+    ForwardingFacts facts;
+    facts.prefilled = PrefilledPrompt{{"10.1.64.9", 8080}, "3fa0"};
+    EXPECT_EQ(valueIn(encodeRequest(headWith({}), facts).fields, "Kv-Source"), "10.1.64.9:8080/3fa0");
+    facts.prefilled.reset();
+    facts.prefillOnly = true;
+    EXPECT_EQ(valueIn(encodeRequest(headWith({}), facts).fields, "Stage"), "prefill");
+}
+
+TEST(Answer, RefusedSignedOrMisdirected_Decoded_SaysWhatRan)
+{
+    EXPECT_TRUE(decodeAnswer({503, "", {{"Not-Executed", "1"}}}).notRun);
+    EXPECT_FALSE(decodeAnswer({503, "", {}}).notRun);
+    EXPECT_TRUE(decodeAnswer({421, "", {}}).notRun);
+    EXPECT_FALSE(decodeAnswer({500, "", {{"Response-Stamp", "x"}}}).notRun);
+    EXPECT_TRUE(decodeAnswer({200, "", {{"Response-Stamp", "x"}}}).isSigned);
+    const auto load = decodeAnswer({200, "", {{"Server-Load", "3,1,8"}}}).load;
+    ASSERT_TRUE(load.has_value());
+    EXPECT_EQ(load->running, 3U);
+    EXPECT_EQ(load->waiting, 1U);
+    EXPECT_FALSE(decodeAnswer({200, "", {{"Server-Load", "3,x,8"}}}).load.has_value());
+}
+
+TEST(Answer, OwnRefusal_Encoded_BearsIdAndTimeToReturn)
+{
+    const auto head = encodeOwnAnswer(503, "a1", Milliseconds(250));
+    EXPECT_EQ(valueIn(head.fields, "Attempt-Id"), "a1");
+    EXPECT_EQ(valueIn(head.fields, "Retry-After"), "0.250");
+}
+
+TEST(EngineReport, GoodAndBad_Decoded_OnlyGoodIsTaken)
+{
+    const auto report = decodeReport(R"({"stage":"prefill","models":[],"busy":true,"seq":2})");
+    ASSERT_TRUE(report.ok());
+    EXPECT_EQ(report->stage, EngineStage::Prefill);
+    EXPECT_TRUE(report->busy);
+    EXPECT_EQ(report->ordersAccepted, 2U);
+    EXPECT_FALSE(decodeReport(R"({"stage":"prefill"})").ok());
+    EXPECT_FALSE(decodeReport("").ok());
+    EXPECT_FALSE(decodePrefilled("{}").ok());
+    EXPECT_EQ(*decodePrefilled(R"({"handle":"3f","tokens":1})"), "3f");
+}
+
+TEST(Store, PageWithUnreadableValue_Decoded_OtherRowsAreThere)
+{
+    HttpResult result;
+    result.code = 200;
+    result.body
+        = R"({"rows":[{"table":"t","part":"","key":"a","value":"eA==","ver":3},{"table":"t","part":"","key":"b","value":"*","ver":4}],)"
+          R"("more_pages":false,"ver":9,"now_ms":1})";
+    const auto page = StoreFormat().decodePage(result);
+    ASSERT_TRUE(page.ok());
+    EXPECT_EQ(page->version, 9U);
+    EXPECT_EQ(page->rows.at("a").value, "x");
+    EXPECT_EQ(page->rows.at("b").value, "");
+}
+
+TEST(Store, OutcomesOfATransaction_Decoded_OnlyCertainOnesAreCertain)
+{
+    const auto outcome = [](int code) {
+        HttpResult result;
+        result.code = code;
+        return StoreFormat().outcome(result);
+    };
+    EXPECT_EQ(outcome(200), CommitOutcome::Committed);
+    EXPECT_EQ(outcome(412), CommitOutcome::Conflict);
+    EXPECT_EQ(outcome(429), CommitOutcome::NotSent);
+    EXPECT_EQ(outcome(503), CommitOutcome::NotSent);
+    EXPECT_EQ(outcome(500), CommitOutcome::Unknown);
+}
+
+TEST(Store, HistoryLost_Decoded_IsTold)
+{
+    HttpResult result;
+    result.code = 410;
+    EXPECT_TRUE(absl::IsOutOfRange(StoreFormat().decodeChanges(result).status()));
+}
+
+/** Whatever bytes arrive, decoding ends with a value or an error. */
+RC_GTEST_PROP(Decoders, AnyBytes_Decoded_NeverFailTheProcess, (const std::string &bytes))
+{
+    (void)decodeConfiguration(bytes);
+    (void)decodeEndpoint("id", bytes);
+    (void)decodeReport(bytes);
+    (void)decodePrefilled(bytes);
+    (void)parseSettings(bytes);
+    (void)decodeRequest(headWith({{"Token-Counts", bytes}, {"Prompt-Prefix", bytes}, {"Deadline-Ms", bytes}}));
+    (void)decodeAnswer({200, "", {{"Server-Load", bytes}}});
+    HttpResult result;
+    result.code = 200;
+    result.body = bytes;
+    (void)StoreFormat().decodePage(result);
+    (void)StoreFormat().decodeChanges(result);
+}
+
+/** The same for good messages of which one byte was changed. */
+RC_GTEST_PROP(Decoders, OneByteChanged_Decoded_NeverFailTheProcess, ())
+{
+    const auto spoiled = [](std::string text) {
+        text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        return text;
+    };
+    (void)decodeConfiguration(spoiled(Configuration));
+    (void)decodeEndpoint("id", spoiled(Entry));
+    (void)parseSettings(spoiled(Settings));
+}
+
+}
