--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -35,6 +35,12 @@
     find src platform tests bench -name '*.h' -o -name '*.cpp' | grep -v '\.pb\.' | sort
 }
 if [ "$checks" = yes ]; then
+    # The users' platform's names are decoded in platform/ and known nowhere else.
+    platform_words='Attempt-Id|Deadline-Ms|X-Api-Key|Token-Counts|Prompt-Prefix|Response-Stamp|Not-Executed|Kv-Source|Expect-Instance|Request-Urgency|Server-Load|Instance-Id|Duty-Holder|Fencing-Token|rows-get|rows-tx|rows-feed|path_prefix|api_keys|kv_token_bytes|CHESTNUTCOVE_BOOT'
+    if grep -rnE "$platform_words" src bench; then
+        echo "names of the users' platform outside platform/" >&2
+        exit 1
+    fi
     sources | xargs clang-format --dry-run --Werror
     sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
 fi
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -17,9 +17,9 @@
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
 /** Whole answers are collected up to this size, so that a cut one can still be replaced; longer ones are passed on as they come. */
-constexpr std::size_t MaxCollectedBytes = 256 * 1024;
+constexpr std::size_t MaxCollectedBytes = std::size_t{256} * 1024;
 /** Bytes that wait for a slow caller before its endpoint has to wait too. */
-constexpr std::size_t MaxPendingBytes = 256 * 1024;
+constexpr std::size_t MaxPendingBytes = std::size_t{256} * 1024;
 /** An endpoint's own answer at the deadline may still be on its way. */
 constexpr Milliseconds DeadlineSlack{15};
 /** Fraction of the time left that callers wait at most before they come back. */
@@ -326,7 +326,7 @@
     }
 }
 
-ForwardedRequest::OutgoingCall ForwardedRequest::closeCall(AttemptOutcome outcome)
+OutgoingCall ForwardedRequest::closeCall(AttemptOutcome outcome)
 {
     OutgoingCall call = std::move(*call_);
     call_.reset();
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -66,6 +66,20 @@
     double quotaUnits = 0;
 };
 
+/** A call to an endpoint in progress. */
+struct OutgoingCall
+{
+    EndpointRecord endpoint;
+    CallWork work = CallWork::Run;
+    std::uint64_t promptTokens = 0;
+    TimePoint startedAt;
+    std::shared_ptr<EndpointConnection> connection;
+    /** The answer's head, once it arrived. */
+    std::optional<ResponseHead> head;
+    Platform::AnswerFacts answer;
+    std::string body;
+};
+
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
@@ -74,19 +88,6 @@
     void start();
 
 private:
-    struct OutgoingCall
-    {
-        EndpointRecord endpoint;
-        CallWork work = CallWork::Run;
-        std::uint64_t promptTokens = 0;
-        TimePoint startedAt;
-        std::shared_ptr<EndpointConnection> connection;
-        /** The answer's head, once it arrived. */
-        std::optional<ResponseHead> head;
-        Platform::AnswerFacts answer;
-        std::string body;
-    };
-
     void place();
     void noteWork(const Placement &placement);
     /** Takes a repeat from the retry budget; ends the request where there is none left. */
--- a/src/chestnutcove/main.cpp
+++ b/src/chestnutcove/main.cpp
@@ -20,6 +20,8 @@
 using namespace Chestnutcove;
 
 constexpr const char *Version = "0.1.0";
+/** Of each kind of event. */
+constexpr unsigned PlatformLogLinesPerSecond = 200;
 
 std::uint64_t randomIncarnation()
 {
@@ -89,7 +91,7 @@
         std::cerr << settings.status().message() << '\n';
         return ExitCode::Usage;
     }
-    const Log log("gateway " + settings->vmName, LogLevel::Info);
+    const Log log("gateway " + settings->vmName, LogOptions{LogLevel::Info, LogTarget::StandardOutput, PlatformLogLinesPerSecond});
     Metrics metrics;
     asio::io_context context(1);
     PlatformGateway gateway(*settings, context, log, metrics, randomIncarnation());
@@ -101,7 +103,9 @@
         }
     };
     reloads.async_wait(onReload);
-    return runRole(gateway, context, log, [] { return nlohmann::json{{"started", true}}; });
+    return runRole(gateway, context, log, [&gateway] {
+        return nlohmann::json{{"ready", true}, {"callers", gateway.callerPort()}, {"readiness", gateway.readinessPort()}};
+    });
 }
 
 ExitCode runSidecar(const std::string &file)
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -5,6 +5,7 @@
 #include "suspendclock.h"
 
 #include <asio/ip/address_v4.hpp>
+#include <asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -149,6 +150,10 @@
     } catch (const std::system_error &error) {
         return absl::UnavailableError(std::string("can't listen: ") + error.what());
     }
+    // The first line of output is the caller's, with the ports.
+    asio::post(events_, [this] {
+        log_.info("started", {{"callers", settings_.callerListen->text()}, {"incarnation", std::to_string(incarnation_)}});
+    });
     configurationMirror_.start();
     endpointMirror_.start();
     fleet_.tick(suspendAwareNow());
@@ -395,6 +400,16 @@
     fleet_.beginLeaving(stoppedAt_);
 }
 
+std::uint16_t PlatformGateway::callerPort() const
+{
+    return callers_->port();
+}
+
+std::uint16_t PlatformGateway::readinessPort() const
+{
+    return readiness_->port();
+}
+
 void PlatformGateway::reload(const absl::StatusOr<Platform::PlatformSettings> &settings)
 {
     if (!settings.ok()) {
@@ -402,7 +417,7 @@
         return;
     }
     const bool moved = settings->callerListen != settings_.callerListen || settings->store != settings_.store;
-    log_.info("settings read again", {{"needsRestart", moved ? "yes" : "no"}});
+    log_.info("settings reloaded", {{"needsRestart", moved ? "yes" : "no"}});
 }
 
 void PlatformGateway::checkStopped(TimePoint now)
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -45,6 +45,8 @@
     absl::Status start();
     /** Stops gracefully: not ready, open requests are answered, connections are closed politely; then @p onStopped. */
     void stop(std::function<void()> onStopped);
+    std::uint16_t callerPort() const;
+    std::uint16_t readinessPort() const;
     /** Takes over settings that changed while the process runs. */
     void reload(const absl::StatusOr<Platform::PlatformSettings> &settings);
 
--- a/src/chestnutcove/tablemirror.h
+++ b/src/chestnutcove/tablemirror.h
@@ -25,8 +25,8 @@
     Milliseconds retryInterval{250};
     /** How long the service may wait for a change before it answers. */
     Milliseconds feedWait{10000};
-    /** Pause after a failed question for changes. */
-    Milliseconds feedRetry{500};
+    /** Pause after a question for changes that failed or brought none. */
+    Milliseconds feedRetry{200};
 };
 
 template<typename Table>
@@ -133,7 +133,12 @@
                 return;
             }
             apply(*changes);
-            feed();
+            // A service that answers at once with nothing must not be asked without a pause.
+            if (changes->changes.empty()) {
+                feedLater();
+            } else {
+                feed();
+            }
         });
     }
 
--- a/tests/processes/testprocess.h
+++ b/tests/processes/testprocess.h
@@ -20,6 +20,8 @@
 public:
     /** Waits for the first line of output, a JSON object with the ports. */
     explicit TestProcess(const std::vector<std::string> &command);
+    /** The same with a variable added to the environment. */
+    TestProcess(const std::vector<std::string> &command, const std::string &variable, const std::string &value);
     ~TestProcess();
     TestProcess(const TestProcess &) = delete;
     TestProcess &operator=(const TestProcess &) = delete;
@@ -32,7 +34,11 @@
     std::uint16_t port(const std::string &name) const;
 
 private:
+    void start(const std::vector<std::string> &command);
+
     pid_t pid_ = -1;
+    /** The process's standard output; what follows the first line is not read. */
+    int output_ = -1;
     nlohmann::json ports_;
 };
 
--- /dev/null
+++ b/tests/standins/usersplatform.cpp
@@ -0,0 +1,130 @@
+#include "usersplatform.h"
+
+#include <absl/strings/escaping.h>
+
+namespace Chestnutcove {
+
+namespace {
+
+nlohmann::json toJson(const std::string &table, const std::string &key, const std::string &value, std::uint64_t version)
+{
+    return {{"table", table}, {"part", ""}, {"key", key}, {"value", value}, {"ver", version}};
+}
+
+/** Undoes the escapes that the store's client uses. */
+std::string unescaped(const std::string &text)
+{
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            constexpr int Hexadecimal = 16;
+            result += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, Hexadecimal));
+            i += 2;
+        } else {
+            result += text[i];
+        }
+    }
+    return result;
+}
+
+std::string parameterOf(const HttpRequest &request, std::string_view name)
+{
+    return unescaped(request.parameter(name).value_or(""));
+}
+
+}
+
+void UsersPlatformStandIn::handle(const HttpRequest &request, const HttpReply &reply)
+{
+    const std::lock_guard lock(mutex_);
+    if (request.path.starts_with("/admin/")) {
+        serveAdmin(request, reply);
+    } else if (request.path.starts_with("/chestnutcove/rows-")) {
+        serveStore(request, reply);
+    } else if (request.path == "/usage") {
+        reports_.push_back(nlohmann::json::parse(request.body));
+        reply.respond(200, {}, "{}");
+    } else {
+        serveEndpoint(request, reply);
+    }
+}
+
+void UsersPlatformStandIn::serveStore(const HttpRequest &request, const HttpReply &reply)
+{
+    if (down_) {
+        reply.respond(503, {}, "{}");
+        return;
+    }
+    if (request.path.ends_with("rows-tx")) {
+        const bool done = commit(nlohmann::json::parse(request.body));
+        reply.respond(done ? 200 : 412, {}, nlohmann::json{{"ver", lastVersion_}, {"now_ms", 1}, {"rows", nlohmann::json::array()}}.dump());
+        return;
+    }
+    const std::string after = parameterOf(request, "after");
+    const auto rows = rowsOf(parameterOf(request, "table"),
+                             parameterOf(request, "from"),
+                             parameterOf(request, "target"),
+                             after.empty() ? 0 : std::stoull(after));
+    reply.respond(200, {}, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", 1}}.dump());
+}
+
+nlohmann::json
+UsersPlatformStandIn::rowsOf(const std::string &table, const std::string &from, const std::string &to, std::uint64_t after) const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (auto it = rows_.lower_bound({table, from}); it != rows_.end() && it->first.first == table; ++it) {
+        const bool inRange = to.empty() || it->first.second < to;
+        if (inRange && it->second.version > after) {
+            rows.push_back(toJson(table, it->first.second, it->second.value, it->second.version));
+        }
+    }
+    return rows;
+}
+
+bool UsersPlatformStandIn::commit(const nlohmann::json &body)
+{
+    const auto keyOf = [](const nlohmann::json &row) { return RowKey(row["table"].get<std::string>(), row["key"].get<std::string>()); };
+    for (const auto &row : body["expected"]) {
+        const auto it = rows_.find(keyOf(row));
+        if ((it == rows_.end() ? 0 : it->second.version) != row["ver"].get<std::uint64_t>()) {
+            return false;
+        }
+    }
+    ++lastVersion_;
+    for (const auto &row : body["puts"]) {
+        rows_[keyOf(row)] = Row{row["value"].get<std::string>(), lastVersion_};
+    }
+    for (const auto &row : body["remove"]) {
+        rows_.erase(keyOf(row));
+    }
+    return true;
+}
+
+void UsersPlatformStandIn::serveAdmin(const HttpRequest &request, const HttpReply &reply)
+{
+    const auto body = nlohmann::json::parse(request.body.empty() ? "{}" : request.body);
+    if (request.path == "/admin/row") {
+        rows_[{body["table"].get<std::string>(), body["key"].get<std::string>()}]
+            = Row{absl::Base64Escape(body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump()), ++lastVersion_};
+    } else if (request.path == "/admin/faults") {
+        down_ = body.value("down", down_);
+        silentEndpoint_ = body.value("silentEndpoint", silentEndpoint_);
+    }
+    reply.respond(200, {}, nlohmann::json{{"requests", requests_}, {"reports", reports_}}.dump());
+}
+
+void UsersPlatformStandIn::serveEndpoint(const HttpRequest &request, const HttpReply &reply)
+{
+    nlohmann::json headers = nlohmann::json::object();
+    for (const auto &[name, value] : request.headers) {
+        headers[name] = value;
+    }
+    requests_.push_back({{"method", request.method}, {"path", request.path}, {"body", request.body}, {"headers", headers}});
+    if (silentEndpoint_) {
+        return;
+    }
+    const std::string id(request.value("Attempt-Id").value_or(""));
+    reply.respond(200, {{"Attempt-Id", id}, {"Response-Stamp", "signed"}, {"Server-Load", "1,0,8"}}, "served " + request.body);
+}
+
+}
