Process tests: the state is kept while its reports are read

Cause: the usage case iterated over a part of a temporary and read freed memory; the reports it printed were right (21 requests, each window once). Ruled out: the reporter. Change: the state lives as long as the loop. Before: failed; after: passes.

--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -193,11 +193,12 @@
         [&] {
             std::uint64_t sum = 0;
             std::set<std::uint64_t> windows;
-            for (const auto &report : admin("/admin/state")["reports"]) {
+            const auto state = admin("/admin/state");
+            for (const auto &report : state["reports"]) {
                 sum += report["counts"].value("desk", std::uint64_t{0});
                 EXPECT_TRUE(windows.insert(report["window"].get<std::uint64_t>()).second) << "reported twice";
             }
-            lastReports = admin("/admin/state")["reports"].dump();
+            lastReports = state["reports"].dump();
             return sum >= 21;
         },
         15000))
