--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -123,7 +123,7 @@
     switch (placement.verdict) {
     case Placement::Verdict::NoEndpoint:
         context_.metrics.counter("requests_without_endpoint_total").add();
-        take(policy_.giveUp(), nullptr);
+        endWithoutAnswer();
         return;
     case Placement::Verdict::Overloaded:
         context_.metrics.counter("requests_overloaded_total").add();
@@ -160,7 +160,7 @@
         return true;
     }
     context_.metrics.counter("retries_without_budget_total").add();
-    take(policy_.giveUp(), nullptr);
+    endWithoutAnswer();
     return false;
 }
 
@@ -368,7 +368,7 @@
         place();
         return;
     }
-    take(policy_.giveUp(), nullptr);
+    endWithoutAnswer();
 }
 
 void ForwardedRequest::runEnded(OutgoingCall call, AttemptOutcome outcome)
@@ -392,27 +392,34 @@
                             {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))}});
     }
     query_.excluded.insert(call.endpoint.id);
-    take(step, &call);
+    take(step, call);
 }
 
-void ForwardedRequest::take(NextStep step, const OutgoingCall *call)
+void ForwardedRequest::take(NextStep step, const OutgoingCall &call)
 {
     switch (step) {
     case NextStep::TryAgain:
         place();
         return;
     case NextStep::Relay:
-        relay(*call);
+        relay(call);
         return;
     case NextStep::RefuseNotRun:
-        refuse(returnDelay(Duration::zero()));
-        return;
     case NextStep::ReportFailure:
-        answerOwn(timeLeft() <= Milliseconds::zero() ? GatewayTimeout : BadGateway, std::nullopt);
+        endWithoutAnswer();
         return;
     }
 }
 
+void ForwardedRequest::endWithoutAnswer()
+{
+    if (policy_.mayHaveRun()) {
+        answerOwn(timeLeft() <= Milliseconds::zero() ? GatewayTimeout : BadGateway, std::nullopt);
+    } else {
+        refuse(returnDelay(Duration::zero()));
+    }
+}
+
 void ForwardedRequest::relay(const OutgoingCall &call)
 {
     exchange_->answer(Platform::encodeAnswer(*call.head), call.body);
@@ -435,7 +442,6 @@
     if (done_) {
         return;
     }
-    const NextStep step = policy_.giveUp();
     if (call_) {
         if (call_->connection) {
             call_->connection->cancel();
@@ -447,7 +453,7 @@
         finish("stream cut at its timeout", 0);
         return;
     }
-    take(step, nullptr);
+    endWithoutAnswer();
 }
 
 void ForwardedRequest::callerGone()
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -109,7 +109,9 @@
     void passOnEvents();
     void beginAnswer(const ResponseHead &head);
     void relay(const OutgoingCall &call);
-    void take(NextStep step, const OutgoingCall *call);
+    void take(NextStep step, const OutgoingCall &call);
+    /** Says whether the request may have run, where no endpoint gave an answer to pass on. */
+    void endWithoutAnswer();
     void refuse(Milliseconds retryAfter);
     void answerOwn(int status, std::optional<Milliseconds> retryAfter);
     void giveUp();
--- a/src/libproxy/bufferedsocket.cpp
+++ b/src/libproxy/bufferedsocket.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 64 * 1024;
+constexpr std::size_t ReadBufferBytes = std::size_t{64} * 1024;
 /** Reads in a row on one connection before others get their turn. */
 constexpr int MaxReadsInARow = 4;
 constexpr int KeepAliveIdleSeconds = 2;
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /** Bytes of further requests that are kept while one is answered; beyond that the kernel keeps them. */
-constexpr std::size_t MaxWaitingInput = 64 * 1024;
+constexpr std::size_t MaxWaitingInput = std::size_t{64} * 1024;
 /** How long a caller may take to close after we did. */
 constexpr Milliseconds CloseWait{2000};
 
--- a/src/libproxy/messageparser.cpp
+++ b/src/libproxy/messageparser.cpp
@@ -155,7 +155,7 @@
 
 const http_parser_settings &MessageParser::settings()
 {
-    static const http_parser_settings Settings = [] {
+    static const http_parser_settings shared = [] {
         http_parser_settings settings{};
         settings.on_url = onUrl;
         settings.on_status = onStatus;
@@ -166,7 +166,7 @@
         settings.on_message_complete = onComplete;
         return settings;
     }();
-    return Settings;
+    return shared;
 }
 
 }
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -67,9 +67,9 @@
 
 const EndpointLoads::Load &EndpointLoads::of(const std::string &endpoint) const
 {
-    static const Load Nothing;
+    static const Load nothing;
     const auto it = loads_.find(endpoint);
-    return it == loads_.end() ? Nothing : it->second;
+    return it == loads_.end() ? nothing : it->second;
 }
 
 bool EndpointLoads::isAvoided(const std::string &endpoint, TimePoint now) const
