Dispatcher: a settled request is remembered up to the bound itself

Cause: a record was forgotten at exactly twice the age limit, while a copy of that same age still counted as young enough to be known. A copy that arrived in that instant was refused as stale, which says "not run", though it had run; so a request that may not be repeated could run twice. Found by the sequence of (delivery_test, 1000 sequences of size 200), red until now. Ruled out: restarts and draining (the reduced sequence needs neither), the flow's own handling of lost answers (unchanged). Change: records go only once they are older than the bound. The users' platform's path is not concerned: it sends straight to endpoints and keeps no such records.

--- a/src/libdelivery/dispatcher.cpp
+++ b/src/libdelivery/dispatcher.cpp
@@ -199,7 +199,8 @@
 
 void Dispatcher::forget(TimePoint now)
 {
-    while (!settled_.empty() && settled_.front().first <= now) {
+    // At the bound itself a copy still counts as young enough to be known here.
+    while (!settled_.empty() && settled_.front().first < now) {
         records_.erase(settled_.front().second);
         settled_.pop_front();
     }
