Usage: a window waits for the figures of gateways that the store turned away

Cause: windows were sealed 3.5 s after their end. Change: each gateway tells in its status row up to which window its figures are stored; the holder seals as soon as all that were seen lately have, and otherwise 2 s before the report is due. Figures of windows that are over are stored at the window's end and one after the other without a pause.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -24,8 +24,12 @@
 constexpr Milliseconds FirstAnnouncementLifetime{2000};
 constexpr Milliseconds OperationsTimeout{800};
 constexpr Milliseconds UsageFlushInterval{1500};
-/** Time after a window's end until all gateways have stored their figures. */
-constexpr Milliseconds UsageSealDelay{3500};
+/** Clocks of VMs differ; a window is not sealed sooner after its end. */
+constexpr Milliseconds EarliestSeal{500};
+/** Time before a report is due by which its window is sealed, whoever's figures are missing. */
+constexpr Milliseconds ReportMargin{2000};
+/** Time between two status rows at least. */
+constexpr Milliseconds ShortestStatusInterval{500};
 
 LeaseOptions leaseOptions()
 {
@@ -43,7 +47,8 @@
     options.vmName = settings.vmName;
     options.window = settings.usageWindow;
     options.flushInterval = UsageFlushInterval;
-    options.sealDelay = std::min(UsageSealDelay, settings.usageDue / 2);
+    options.seal.earliest = std::min(EarliestSeal, settings.usageDue / 2);
+    options.seal.latest = std::max(settings.usageDue - ReportMargin, settings.usageDue / 2);
     options.writeTimeout = settings.lease;
     options.reportTimeout = OperationsTimeout;
     return options;
@@ -72,7 +77,15 @@
     , log_(log)
     , lease_(context.get_executor(), table, log, Duty, settings.vmName, incarnation, leaseOptions())
     , operations_(client, settings.operationsApi ? "http://" + settings.operationsApi->text() : "")
-    , usage_(context.get_executor(), table, operations_, lease_, usageOptions(settings), incarnation, metrics, log)
+    , usage_(context.get_executor(),
+             table,
+             operations_,
+             lease_,
+             usageOptions(settings),
+             incarnation,
+             metrics,
+             log,
+             [this](WindowNumber window) { return isUsageStored(window); })
     , stages_(pool, table, lease_, settings.vmName, metrics, log)
     , liveness_(GatewaySilence)
 {
@@ -97,7 +110,8 @@
         nextPoll_ = now + PollInterval;
         poll(now);
     }
-    if (now >= nextStatus_ && !leaving_) {
+    const bool usageStored = usage_.storedThrough() > status_.usageStoredThrough && now - statusAt_ >= ShortestStatusInterval;
+    if ((now >= nextStatus_ || usageStored) && !leaving_) {
         nextStatus_ = now + StatusInterval;
         writeStatus(now);
     }
@@ -189,6 +203,7 @@
     const double ms = toSeconds(now - std::exchange(statusAt_, now)) * 1000;
     ++status_.beat;
     status_.demand = quotas_.demand(now);
+    status_.usageStoredThrough = usage_.storedThrough();
     status_.work.clear();
     for (const auto &[service, work] : std::exchange(work_, {})) {
         status_.work[service] = work.scaled(1 / ms);
@@ -222,6 +237,13 @@
     });
 }
 
+bool FleetCoordinator::isUsageStored(WindowNumber window) const
+{
+    // A gateway that is silent for longer has nothing more for a window that is still to be sealed.
+    const Duration silence = settings_.usageDue + settings_.usageWindow;
+    return statusesKnown_ && liveness_.haveStoredUsage(window, silence, suspendAwareNow());
+}
+
 void FleetCoordinator::lead(TimePoint now)
 {
     const auto catalogue = catalogue_();
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -62,6 +62,8 @@
     void lead(TimePoint now);
     void divide(TimePoint now);
     void store(QuotaDivision division);
+    /** Whether all gateways have stored their figures of a window. */
+    bool isUsageStored(WindowNumber window) const;
     std::optional<EngineWork> workOf(const std::string &service, TimePoint now) const;
 
     const Platform::PlatformSettings &settings_;
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -59,7 +59,7 @@
     options.vmName = settings.name;
     options.window = settings.timing.usageWindow;
     options.flushInterval = settings.timing.usageFlush;
-    options.sealDelay = settings.timing.usageGrace;
+    options.seal = {settings.timing.usageGrace, settings.timing.usageGrace};
     options.writeTimeout = settings.timing.leaseDuration;
     options.reportTimeout = settings.platformTimeout;
     return options;
--- a/src/chestnutcove/usagereporter.h
+++ b/src/chestnutcove/usagereporter.h
@@ -9,6 +9,7 @@
 #include "dutylease.h"
 #include "jsonusagesink.h"
 #include "metrics.h"
+#include "sealschedule.h"
 #include "suspendclock.h"
 #include "usageledger.h"
 #include "usagereport.h"
@@ -29,8 +30,9 @@
     Milliseconds window{60000};
     /** How often changed figures are stored. */
     Milliseconds flushInterval{2000};
-    /** Time after a window's end at which it is sealed. */
-    Milliseconds sealDelay{10000};
+    /** Time between two attempts to store the figures of a window that is over. */
+    Milliseconds closedFlushInterval{400};
+    SealSchedule seal;
     /** Time after which the outcome of a write is given up. */
     Milliseconds writeTimeout{6000};
     Milliseconds reportTimeout{1000};
@@ -78,14 +80,19 @@
 class BasicUsageReporter
 {
 public:
-    BasicUsageReporter(asio::any_io_executor executor,
-                       Table &table,
-                       Sink &sink,
-                       const BasicDutyLease<Table> &lease,
-                       UsageOptions options,
-                       std::uint64_t incarnation,
-                       Metrics &metrics,
-                       const Log &log);
+    /** Whether all gateways that may have figures of a window have stored them. */
+    using StoredCheck = std::function<bool(WindowNumber)>;
+
+    BasicUsageReporter(
+        asio::any_io_executor executor,
+        Table &table,
+        Sink &sink,
+        const BasicDutyLease<Table> &lease,
+        UsageOptions options,
+        std::uint64_t incarnation,
+        Metrics &metrics,
+        const Log &log,
+        StoredCheck allStored = [](WindowNumber) { return true; });
 
     void add(const std::string &customer, const UsageFigures &figures);
     /** Stores figures where they are due and carries on with the reporter's duty. */
@@ -93,6 +100,8 @@
     /** Stores what is left at once, for a planned stop. */
     void flushNow();
     bool isFlushed() const;
+    /** All figures of this gateway up to this window are stored, and no more will come. */
+    WindowNumber storedThrough() const;
     nlohmann::json dump() const;
 
 private:
@@ -102,6 +111,8 @@
     };
 
     WindowNumber currentWindow() const;
+    bool hasClosedFigures() const;
+    bool isSealDue(WindowNumber window) const;
     void flush();
     void onFlushConflict(const UsageFlush &flush);
     void workOnWindow();
@@ -126,7 +137,10 @@
     UsageLedger ledger_;
     std::mt19937_64 random_;
     WallClock clock_;
+    StoredCheck allStored_;
     TimePoint nextFlush_;
+    /** The current window at the last tick. */
+    WindowNumber lastWindow_ = 0;
     /** The epoch for which progress_ was read. */
     std::uint64_t progressEpoch_ = 0;
     /** The last window that was reported; nothing before it is left to do. */
@@ -142,7 +156,8 @@
                                                     UsageOptions options,
                                                     std::uint64_t incarnation,
                                                     Metrics &metrics,
-                                                    const Log &log)
+                                                    const Log &log,
+                                                    StoredCheck allStored)
     : table_(table)
     , sink_(sink)
     , options_(std::move(options))
@@ -153,6 +168,7 @@
     , writer_(std::move(executor), table, options_.writeTimeout)
     , random_(incarnation + 1)
     , clock_(std::chrono::system_clock::now(), suspendAwareNow())
+    , allStored_(std::move(allStored))
 {
 }
 
@@ -191,8 +207,10 @@
 void BasicUsageReporter<Table, Sink>::tick(TimePoint now)
 {
     clock_.observe(std::chrono::system_clock::now(), now);
-    if (now >= nextFlush_) {
-        nextFlush_ = now + options_.flushInterval;
+    const WindowNumber current = currentWindow();
+    const bool windowEnded = std::exchange(lastWindow_, current) != current;
+    if (windowEnded || now >= nextFlush_) {
+        nextFlush_ = now + (hasClosedFigures() ? options_.closedFlushInterval : options_.flushInterval);
         flush();
         ledger_.forgetBefore(currentWindow() > UsageRows::KeptWindows ? currentWindow() - UsageRows::KeptWindows : 0);
     }
@@ -201,6 +219,26 @@
     }
 }
 
+template<TableService Table, UsageSink Sink>
+bool BasicUsageReporter<Table, Sink>::hasClosedFigures() const
+{
+    const auto oldest = ledger_.oldestUnstored();
+    return oldest && *oldest < currentWindow();
+}
+
+template<TableService Table, UsageSink Sink>
+WindowNumber BasicUsageReporter<Table, Sink>::storedThrough() const
+{
+    return std::min(currentWindow(), ledger_.oldestUnstored().value_or(currentWindow())) - 1;
+}
+
+template<TableService Table, UsageSink Sink>
+bool BasicUsageReporter<Table, Sink>::isSealDue(WindowNumber window) const
+{
+    const auto end = (window + 1) * options_.window;
+    return options_.seal.isDue(clock_.at(suspendAwareNow()).time_since_epoch() - end, allStored_(window));
+}
+
 template<TableService Table, UsageSink Sink>
 void BasicUsageReporter<Table, Sink>::flushNow()
 {
@@ -224,6 +262,9 @@
         switch (outcome) {
         case CommitOutcome::Committed:
             ledger_.flushed();
+            if (hasClosedFigures()) {
+                this->flush();
+            }
             break;
         case CommitOutcome::Conflict:
             onFlushConflict(flush);
@@ -264,12 +305,11 @@
     const std::uint64_t epoch = lease_.keeper().epoch();
     if (progress_ && progressEpoch_ == epoch) {
         const WindowNumber next = *progress_ + 1;
-        const auto end = (next + 1) * options_.window + options_.sealDelay;
-        if (clock_.at(suspendAwareNow()).time_since_epoch() < end) {
+        if (isSealDue(next)) {
+            seal(next);
+        } else {
             step_ = Step::Idle;
-            return;
         }
-        seal(next);
         return;
     }
     table_.get({UsageRows::ProgressKey}, [this, epoch](const absl::StatusOr<TableRows> &rows) {
--- a/src/libserving/gatewaystatus.cpp
+++ b/src/libserving/gatewaystatus.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Chestnutcove {
 
 namespace {
@@ -24,7 +26,12 @@
     for (const auto &[service, each] : work) {
         services[service] = toJson(each);
     }
-    return nlohmann::json{{"incarnation", incarnation}, {"beat", beat}, {"demand", demand}, {"work", std::move(services)}}.dump();
+    return nlohmann::json{{"incarnation", incarnation},
+                          {"beat", beat},
+                          {"demand", demand},
+                          {"work", std::move(services)},
+                          {"usageStoredThrough", usageStoredThrough}}
+        .dump();
 }
 
 absl::StatusOr<GatewayStatus> GatewayStatus::fromText(const std::string &text)
@@ -35,6 +42,7 @@
         json.at("incarnation").get_to(status.incarnation);
         json.at("beat").get_to(status.beat);
         json.at("demand").get_to(status.demand);
+        json.at("usageStoredThrough").get_to(status.usageStoredThrough);
         for (const auto &[service, each] : json.at("work").items()) {
             status.work[service] = workOf(each);
         }
@@ -73,4 +81,12 @@
     return result;
 }
 
+bool GatewayLiveness::haveStoredUsage(std::uint64_t window, Duration silence, TimePoint now) const
+{
+    return std::all_of(seen_.begin(), seen_.end(), [&](const auto &item) {
+        const Seen &seen = item.second;
+        return now - seen.changedAt >= silence || seen.status.usageStoredThrough >= window;
+    });
+}
+
 }
--- a/src/libserving/gatewaystatus.h
+++ b/src/libserving/gatewaystatus.h
@@ -22,6 +22,8 @@
     CustomerDemand demand;
     /** By service. */
     std::map<std::string, EngineWork> work;
+    /** The last window whose usage figures are all stored. */
+    std::uint64_t usageStoredThrough = 0;
 
     std::string toText() const;
     static absl::StatusOr<GatewayStatus> fromText(const std::string &text);
@@ -36,6 +38,8 @@
     void observed(const std::map<std::string, GatewayStatus> &statuses, TimePoint now);
     /** The statuses of gateways that live, by VM. */
     std::map<std::string, GatewayStatus> living(TimePoint now) const;
+    /** Whether all gateways have stored their usage of a window; those whose row did not change for @p silence don't count. */
+    bool haveStoredUsage(std::uint64_t window, Duration silence, TimePoint now) const;
 
 private:
     struct Seen
--- a/src/libusage/usageledger.cpp
+++ b/src/libusage/usageledger.cpp
@@ -61,13 +61,11 @@
     if (pending_) {
         return std::nullopt;
     }
-    for (const auto &[number, window] : windows_) {
-        if (window.figures != window.stored) {
-            pending_ = UsageFlush{number, window.figures};
-            return pending_;
-        }
+    const auto oldest = oldestUnstored();
+    if (oldest) {
+        pending_ = UsageFlush{*oldest, windows_.at(*oldest).figures};
     }
-    return std::nullopt;
+    return pending_;
 }
 
 void UsageLedger::flushed()
@@ -107,6 +105,16 @@
         && std::all_of(windows_.begin(), windows_.end(), [](const auto &item) { return item.second.figures == item.second.stored; });
 }
 
+std::optional<WindowNumber> UsageLedger::oldestUnstored() const
+{
+    for (const auto &[number, window] : windows_) {
+        if (window.figures != window.stored) {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
 void UsageLedger::forgetBefore(WindowNumber window)
 {
     std::erase_if(windows_, [&](const auto &item) {
--- a/src/libusage/usageledger.h
+++ b/src/libusage/usageledger.h
@@ -56,6 +56,8 @@
     void flushUnknown();
 
     bool isFlushed() const;
+    /** The oldest window with figures that are not known to be stored. */
+    std::optional<WindowNumber> oldestUnstored() const;
     /** Stored windows that can't change any more here may be forgotten. */
     void forgetBefore(WindowNumber window);
     CustomerUsage unstored() const;
--- /dev/null
+++ b/tests/usage/sealschedule_test.cpp
@@ -0,0 +1,52 @@
+/**
+ * When a usage window is sealed: a gateway that the store turns away for some seconds still gets its figures in.
+ */
+#include "sealschedule.h"
+
+#include "usageledger.h"
+
+#include <gtest/gtest.h>
+
+namespace Chestnutcove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class SealScheduleTest : public testing::Test
+{
+protected:
+    SealSchedule schedule_{500ms, 8000ms};
+};
+
+TEST_F(SealScheduleTest, AllFiguresAreStored_WindowJustEnded_WaitsForClocksThatDiffer)
+{
+    EXPECT_FALSE(schedule_.isDue(400ms, true));
+    EXPECT_TRUE(schedule_.isDue(500ms, true));
+}
+
+TEST_F(SealScheduleTest, GatewayIsTurnedAwayForSeconds_WindowEnded_IsNotSealedWithoutItsFigures)
+{
+    EXPECT_FALSE(schedule_.isDue(7900ms, false));
+}
+
+TEST_F(SealScheduleTest, GatewayDoesNotComeBack_ReportIsDueSoon_IsSealedWithoutItsFigures)
+{
+    EXPECT_TRUE(schedule_.isDue(8000ms, false));
+}
+
+TEST(UsageLedger, FlushOfAWindowIsInProgress_OldestUnstored_IsStillThatWindow)
+{
+    UsageLedger ledger;
+    EXPECT_FALSE(ledger.oldestUnstored());
+    ledger.add(7, "desk", {1, 0, 0});
+    ledger.add(8, "desk", {1, 0, 0});
+    ledger.nextFlush();
+    EXPECT_EQ(7U, ledger.oldestUnstored());
+    ledger.flushed();
+    EXPECT_EQ(8U, ledger.oldestUnstored());
+}
+
+}
+
+}
