Quotas: parts follow demand more closely and fill from the first division on

(1) A customer's bucket was made at its first request and began empty there, so that each gateway refused the first requests of each customer; (2) half of each rate was divided evenly, which leaves a gateway with two fifths of the demand 1.35 times its usual load; (3) refused requests were all told the time at which one of them would find room, came back together and were refused again. Change: a bucket counts from the division that the process knows, and is settled whenever the division changes, also after a time without a part; a quarter is divided evenly; 0.85 of the allowance is used in place of 0.7; refused requests queue for the room to come and are told their own time. Demand is averaged over time and not over calls, whose interval varies now. A refusal is logged with the part, level, rate and division that decided it, and each call to an endpoint that fails with its outcome.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -195,7 +195,7 @@
                        {"settled", division->settled ? "yes" : "no"}});
         }
     }
-    quotas_.observed(*division, startedAt);
+    quotas_.observed(*division, startedAt, now);
 }
 
 void FleetCoordinator::writeStatus(TimePoint now)
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -117,25 +117,24 @@
     }
     const TimePoint now = suspendAwareNow();
     query_.patience = deadline_ - now;
-    const Placement placement = context_.placement.place(query_, context_.directory.usable(request_.service->name, now), now);
-    noteWork(placement);
-    isLate_ = placement.isLate;
-    switch (placement.verdict) {
+    placement_ = context_.placement.place(query_, context_.directory.usable(request_.service->name, now), now);
+    noteWork(placement_);
+    switch (placement_.verdict) {
     case Placement::Verdict::NoEndpoint:
         context_.metrics.counter("requests_without_endpoint_total").add();
         endWithoutAnswer();
         return;
     case Placement::Verdict::Overloaded:
         context_.metrics.counter("requests_overloaded_total").add();
-        refuse(returnDelay(placement.expectedWait));
+        refuse(returnDelay(placement_.expectedWait));
         return;
     case Placement::Verdict::Placed:
         break;
     }
-    if (placement.prefill) {
-        prefill(placement);
+    if (placement_.prefill) {
+        prefill(placement_);
     } else {
-        run(*placement.run, std::nullopt);
+        run(*placement_.run, std::nullopt);
     }
 }
 
@@ -197,7 +196,7 @@
     lastEndpoint_ = endpoint.id;
     context_.loads.callStarted(endpoint.id, promptTokens);
     facts.customer = request_.customer;
-    if (isLate_) {
+    if (placement_.isLate) {
         facts.urgency = LateUrgency;
     }
     facts.endpointId = endpoint.id;
@@ -211,6 +210,7 @@
         }
         if (!connection.ok()) {
             const OutgoingCall call = self->closeCall(AttemptOutcome::NotSent);
+            self->logFailure(call, AttemptOutcome::NotSent);
             if (call.work == CallWork::Prefill) {
                 self->prefillEnded(call, AttemptOutcome::NotSent);
             } else {
@@ -319,6 +319,7 @@
 {
     const AttemptOutcome outcome = outcomeOf(end);
     OutgoingCall call = closeCall(outcome);
+    logFailure(call, outcome);
     if (call.work == CallWork::Prefill) {
         prefillEnded(call, outcome);
     } else {
@@ -326,6 +327,25 @@
     }
 }
 
+void ForwardedRequest::logFailure(const OutgoingCall &call, AttemptOutcome outcome) const
+{
+    if (outcome == AttemptOutcome::Succeeded) {
+        return;
+    }
+    const auto &load = context_.loads.of(call.endpoint.id);
+    const auto lasted = std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - call.startedAt);
+    context_.log.info("call failed",
+                      {{"request", request_.facts.requestId},
+                       {"endpoint", call.endpoint.id},
+                       {"work", call.work == CallWork::Prefill ? "prefill" : "run"},
+                       {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))},
+                       {"status", call.head ? std::to_string(call.head->status) : "none"},
+                       {"ms", std::to_string(lasted.count())},
+                       {"ownCalls", std::to_string(load.calls)},
+                       {"reportedRunning", std::to_string(load.reported.running)},
+                       {"reportedWaiting", std::to_string(load.reported.waiting)}});
+}
+
 OutgoingCall ForwardedRequest::closeCall(AttemptOutcome outcome)
 {
     OutgoingCall call = std::move(*call_);
@@ -385,12 +405,6 @@
         return;
     }
     const NextStep step = policy_.attemptEnded(outcome, [this] { return context_.retryBudget(request_.service->name).hasRoom(); });
-    if (outcome != AttemptOutcome::Succeeded) {
-        context_.log.debug("attempt failed",
-                           {{"request", request_.facts.requestId},
-                            {"endpoint", call.endpoint.id},
-                            {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))}});
-    }
     query_.excluded.insert(call.endpoint.id);
     take(step, call);
 }
@@ -508,6 +522,10 @@
                        {"customer", request_.customer},
                        {"endpoint", lastEndpoint_},
                        {"attempts", std::to_string(policy_.attempts())},
+                       {"prefills", std::to_string(prefills_)},
+                       {"expectedWaitMs", std::to_string(std::chrono::duration_cast<Milliseconds>(placement_.expectedWait).count())},
+                       {"tokensToRead", std::to_string(placement_.tokensToRead)},
+                       {"late", placement_.isLate ? "yes" : "no"},
                        {"catalogueVersion", std::to_string(request_.catalogue->version())},
                        {"status", std::to_string(status)},
                        {"outcome", std::string(outcome)},
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -101,6 +101,7 @@
     void onBody(std::string_view bytes);
     void onCallEnd(CallEnd end);
     AttemptOutcome outcomeOf(CallEnd end) const;
+    void logFailure(const OutgoingCall &call, AttemptOutcome outcome) const;
     /** Ends the call in progress: counts it and gives its connection back. */
     OutgoingCall closeCall(AttemptOutcome outcome);
     void prefillEnded(const OutgoingCall &call, AttemptOutcome outcome);
@@ -137,7 +138,8 @@
     ArrivalCount arrivals_;
     unsigned prefills_ = 0;
     bool workNoted_ = false;
-    bool isLate_ = false;
+    /** The last decision about where it goes. */
+    Placement placement_;
     bool runBegan_ = false;
     bool done_ = false;
     std::string lastEndpoint_;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -38,7 +38,7 @@
 /** What the gateway has to store before its end is written this long before it would be killed. */
 constexpr Milliseconds LeaveMargin{1500};
 /** Part of the allowance beyond the quotas that is used. */
-constexpr double QuotaAllowanceUse = 0.7;
+constexpr double QuotaAllowanceUse = 0.85;
 /** Part of the fleet's retry budget that the gateways use; the rest is for those that join. */
 constexpr double RetryBudgetUse = 0.6;
 
@@ -324,6 +324,15 @@
     const QuotaVerdict verdict = quotas_.admit(customer, units, now);
     if (!verdict.admitted) {
         const auto wait = std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(verdict.wait));
+        log_.info("quota checked",
+                  {{"request", facts.requestId},
+                   {"customer", customer.name},
+                   {"units", std::to_string(static_cast<std::int64_t>(units))},
+                   {"level", std::to_string(static_cast<std::int64_t>(verdict.level))},
+                   {"rate", std::to_string(static_cast<std::int64_t>(customer.rate))},
+                   {"part", std::to_string(verdict.fraction)},
+                   {"division", std::to_string(quotas_.divisionNumber())},
+                   {"retryMs", std::to_string(wait.count())}});
         refuse(exchange, facts, TooManyRequests, "quota used up", wait);
         return false;
     }
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-constexpr double EvenPart = 0.5;
-/** Weight of the newest interval in the smoothed demand. */
-constexpr double DemandWeight = 0.4;
+/** The part of a rate that is divided evenly, whoever asks for it. */
+constexpr double EvenPart = 0.25;
+/** Time over which demand is averaged. */
+constexpr Duration DemandMemory = std::chrono::seconds(4);
 /** A part that differs by less than this is left as it is. */
 constexpr double WorthwhileChange = 0.08;
 
@@ -127,16 +128,25 @@
 {
 }
 
-void QuotaShares::observed(const QuotaDivision &division, TimePoint startedAt)
+void QuotaShares::observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now)
 {
     proof_.proved(startedAt);
+    const bool isNew = !currentSince_ || division.number != current_.number || division.settled != current_.settled;
+    if (!isNew) {
+        return;
+    }
+    // What accrued under the former part stays; what accrues from now on comes from the new one.
+    for (auto &[name, bucket] : buckets_) {
+        fill(bucket, now);
+        bucket.rate = 0;
+    }
     current_ = division;
-    known_ = true;
+    currentSince_ = now;
 }
 
 bool QuotaShares::isUsable(TimePoint now) const
 {
-    return known_ && proof_.isFresh(now);
+    return currentSince_ && proof_.isFresh(now);
 }
 
 double QuotaShares::fractionOf(const std::string &customer, TimePoint now) const
@@ -144,16 +154,25 @@
     return isUsable(now) ? current_.spendable(customer, vm_) : 0;
 }
 
-void QuotaShares::fill(Bucket &bucket, double rate, double capacity, TimePoint now)
+void QuotaShares::fill(Bucket &bucket, TimePoint now)
+{
+    bucket.level = std::min(bucket.level + bucket.rate * toSeconds(std::max(now - bucket.filledAt, Duration::zero())), bucket.capacity);
+    bucket.filledAt = std::max(bucket.filledAt, now);
+}
+
+QuotaShares::Bucket &QuotaShares::filledBucket(const CustomerQuota &customer, double fraction, TimePoint now)
 {
-    // A bucket begins empty: what a former run of this process spent is not known.
-    if (bucket.known) {
-        bucket.level += rate * toSeconds(now - bucket.filledAt);
+    const double beyond = options_.overage * (customer.rate * toSeconds(options_.window) + customer.burst) + options_.allowance;
+    const auto [it, isNew] = buckets_.try_emplace(customer.name);
+    Bucket &bucket = it->second;
+    if (isNew) {
+        // A bucket begins empty: what a former run of this process spent is not known.
+        bucket.filledAt = currentSince_.value_or(now);
     }
-    bucket.known = true;
-    bucket.filledAt = now;
-    bucket.capacity = capacity;
-    bucket.level = std::min(bucket.level, capacity);
+    bucket.rate = customer.rate * fraction;
+    bucket.capacity = (customer.burst + beyond) * fraction;
+    fill(bucket, now);
+    return bucket;
 }
 
 QuotaVerdict QuotaShares::admit(const CustomerQuota &customer, double units, TimePoint now)
@@ -163,15 +182,25 @@
         return {true, {}};
     }
     const double fraction = fractionOf(customer.name, now);
-    const double rate = customer.rate * fraction;
-    Bucket &bucket = buckets_[customer.name];
-    const double beyond = options_.overage * (customer.rate * toSeconds(options_.window) + customer.burst) + options_.allowance;
-    fill(bucket, rate, (customer.burst + beyond) * fraction, now);
-    if (bucket.level >= units) {
+    Bucket &bucket = filledBucket(customer, fraction, now);
+    QuotaVerdict verdict{bucket.level >= units, {}, fraction, bucket.level};
+    if (verdict.admitted) {
         bucket.level -= units;
-        return {true, {}};
+    } else {
+        verdict.wait = reserveRoom(bucket, units, now);
+    }
+    return verdict;
+}
+
+Duration QuotaShares::reserveRoom(Bucket &bucket, double units, TimePoint now) const
+{
+    if (bucket.rate <= 0) {
+        return options_.settleTime;
     }
-    return {false, rate > 0 ? fromSeconds((units - bucket.level) / rate) : options_.settleTime};
+    const TimePoint enough = now + fromSeconds((units - bucket.level) / bucket.rate);
+    const TimePoint start = std::max(enough, std::min(bucket.roomAt, now + options_.window));
+    bucket.roomAt = start + fromSeconds(units / bucket.rate);
+    return start - now;
 }
 
 void QuotaShares::refund(const std::string &customer, double units)
@@ -194,11 +223,12 @@
     if (seconds <= 0) {
         return smoothed_;
     }
+    const double weight = 1 - std::exp(-seconds / toSeconds(DemandMemory));
     for (auto &[customer, rate] : smoothed_) {
-        rate *= 1 - DemandWeight;
+        rate *= 1 - weight;
     }
     for (const auto &[customer, units] : asked) {
-        smoothed_[customer] += DemandWeight * units / seconds;
+        smoothed_[customer] += weight * units / seconds;
     }
     return smoothed_;
 }
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -48,7 +49,7 @@
 /** Units a second that each VM was asked for by each customer. */
 using CustomerDemand = std::map<std::string, double>;
 
-/** Half of each rate is divided evenly, so that a VM can take sudden load, and half by demand. */
+/** A part of each rate is divided evenly, so that a VM can take sudden load, and the rest by demand. */
 QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm);
 /** Whether the division is far enough from what demand asks for to be replaced. */
 bool isOutdated(const QuotaDivision &current, const QuotaDivision &wanted);
@@ -69,8 +70,11 @@
 struct QuotaVerdict
 {
     bool admitted = false;
-    /** Time until enough units have accrued; for a refusal. */
+    /** For a refusal: time until enough units have accrued for it, after those that were refused before it. */
     Duration wait{};
+    /** What decided it: this gateway's part of the rate and the units that it could have spent. */
+    double fraction = 0;
+    double level = 0;
 };
 
 class QuotaShares
@@ -79,7 +83,7 @@
     QuotaShares(std::string vm, QuotaShareOptions options);
 
     /** The stored division was read; the read began at @p startedAt. */
-    void observed(const QuotaDivision &division, TimePoint startedAt);
+    void observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now);
     /** Some division is known and fresh. */
     bool isUsable(TimePoint now) const;
 
@@ -95,20 +99,27 @@
     {
         double level = 0;
         TimePoint filledAt{};
-        /** The limits that the level was filled under. */
+        /** The limits that the level is filled under: units a second, and units. */
+        double rate = 0;
         double capacity = 0;
-        bool known = false;
+        /** From then on there is room for further requests that are refused now. */
+        TimePoint roomAt{};
     };
 
     double fractionOf(const std::string &customer, TimePoint now) const;
-    void fill(Bucket &bucket, double rate, double capacity, TimePoint now);
+    /** The customer's bucket, filled up to now. */
+    Bucket &filledBucket(const CustomerQuota &customer, double fraction, TimePoint now);
+    static void fill(Bucket &bucket, TimePoint now);
+    /** Takes the next free place among the requests that are refused. @return the time until there is room for it. */
+    Duration reserveRoom(Bucket &bucket, double units, TimePoint now) const;
     void noteDemand(const std::string &customer, double units);
 
     std::string vm_;
     QuotaShareOptions options_;
     FreshnessProof proof_;
     QuotaDivision current_;
-    bool known_ = false;
+    /** Since when nothing of a customer without a bucket was spent, and the division has been this one; nothing while none is known. */
+    std::optional<TimePoint> currentSince_;
     std::unordered_map<std::string, Bucket> buckets_;
     /** Units asked for since demand() was last called. */
     std::map<std::string, double> asked_;
