--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -3,6 +3,7 @@
 #include "suspendclock.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Chestnutcove {
@@ -17,8 +18,8 @@
 constexpr Milliseconds LeadInterval{1000};
 /** A gateway whose row stays unchanged for this long counts as gone. */
 constexpr Milliseconds GatewaySilence{5500};
-/** Time between two divisions because of demand. */
-constexpr Milliseconds DivisionDwell{8000};
+/** A gateway that counts as gone may come back within this time and then finds its even part of the quotas. */
+constexpr std::chrono::seconds GatewayMemory{60};
 /** An engine that was to change its stage gets work again after this time even if it did not. */
 constexpr Milliseconds AnnouncementLifetime{7000};
 constexpr Milliseconds FirstAnnouncementLifetime{2000};
@@ -87,7 +88,8 @@
              log,
              [this](WindowNumber window) { return isUsageStored(window); })
     , stages_(pool, table, lease_, settings.vmName, metrics, log)
-    , liveness_(GatewaySilence)
+    , liveness_(GatewaySilence, GatewayMemory)
+    , divider_(QuotaDividerOptions{})
 {
     status_.incarnation = incarnation;
 }
@@ -110,13 +112,13 @@
         nextPoll_ = now + PollInterval;
         poll(now);
     }
-    const bool usageStored = usage_.storedThrough() > status_.usageStoredThrough && now - statusAt_ >= ShortestStatusInterval;
-    if ((now >= nextStatus_ || usageStored) && !leaving_) {
+    if (isStatusDue(now) && !leaving_) {
         nextStatus_ = now + StatusInterval;
         writeStatus(now);
     }
     lease_.tick(now);
     usage_.tick(now);
+    sayFarewell();
     if (!lease_.keeper().mayAct(now)) {
         statusesKnown_ = false;
         return;
@@ -131,6 +133,13 @@
     }
 }
 
+bool FleetCoordinator::isStatusDue(TimePoint now) const
+{
+    // The lease holder waits for these.
+    const bool isNews = usage_.storedThrough() > status_.usageStoredThrough || divider_.current().number > status_.divisionSeen;
+    return now >= nextStatus_ || (isNews && now - statusAt_ >= ShortestStatusInterval);
+}
+
 void FleetCoordinator::poll(TimePoint now)
 {
     if (std::exchange(polling_, true)) {
@@ -184,11 +193,10 @@
         return;
     }
     if (row.version > divisionVersion_) {
-        const bool isNew = division->number != division_.number;
+        const bool isNew = division->number != divider_.current().number;
         divisionVersion_ = row.version;
-        division_ = *division;
+        divider_.observed(*division, now);
         if (isNew) {
-            divisionSince_ = now;
             log_.info("division of quotas seen",
                       {{"number", std::to_string(division->number)},
                        {"vms", std::to_string(division->vms.size())},
@@ -204,6 +212,7 @@
     ++status_.beat;
     status_.demand = quotas_.demand(now);
     status_.usageStoredThrough = usage_.storedThrough();
+    status_.divisionSeen = divider_.current().number;
     status_.work.clear();
     for (const auto &[service, work] : std::exchange(work_, {})) {
         status_.work[service] = work.scaled(1 / ms);
@@ -275,31 +284,9 @@
     if (dividing_ || !headsKnown_) {
         return;
     }
-    const QuotaShareOptions shares;
-    if (divisionVersion_ > 0 && !division_.settled) {
-        if (now - divisionSince_ >= shares.settleTime) {
-            QuotaDivision settled = division_;
-            settled.settled = true;
-            store(std::move(settled));
-        }
-        return;
-    }
-    std::map<std::string, CustomerDemand> demand;
-    for (const auto &[vm, status] : liveness_.living(now)) {
-        demand[vm] = status.demand;
+    if (auto division = divider_.next(liveness_.expected(now), now)) {
+        store(std::move(*division));
     }
-    if (demand.empty()) {
-        return;
-    }
-    QuotaDivision wanted = division_.next(divideQuotas(demand));
-    const bool membersChanged = wanted.vms != division_.vms;
-    const bool dwelt = now - divisionSince_ >= DivisionDwell;
-    if (!isOutdated(division_, wanted) || (!membersChanged && !dwelt)) {
-        return;
-    }
-    // Where there is no division yet, nobody spends from one.
-    wanted.settled = divisionVersion_ == 0;
-    store(std::move(wanted));
 }
 
 void FleetCoordinator::store(QuotaDivision division)
@@ -329,19 +316,30 @@
         return;
     }
     usage_.flushNow();
+}
+
+void FleetCoordinator::sayFarewell()
+{
+    if (!leaving_ || !usage_.isFlushed() || std::exchange(saidFarewell_, true)) {
+        return;
+    }
+    ++status_.beat;
+    status_.demand.clear();
+    status_.work.clear();
+    status_.usageStoredThrough = std::numeric_limits<std::uint64_t>::max();
     TableTransaction transaction;
-    transaction.puts = {{StatusPrefix + settings_.vmName, std::nullopt}};
-    table_.commit(transaction, [this](CommitOutcome) { statusRemoved_ = true; });
+    transaction.puts = {{StatusPrefix + settings_.vmName, status_.toText()}};
+    table_.commit(transaction, [this](CommitOutcome) { hasLeft_ = true; });
 }
 
 bool FleetCoordinator::hasLeft() const
 {
-    return (statusRemoved_ && usage_.isFlushed()) || table_.isDown();
+    return hasLeft_ || table_.isDown();
 }
 
 std::size_t FleetCoordinator::gateways() const
 {
-    return std::max<std::size_t>(1, division_.vms.size());
+    return std::max<std::size_t>(1, divider_.current().vms.size());
 }
 
 }
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -10,6 +10,7 @@
 #include "httptable.h"
 #include "operationsapi.h"
 #include "platformsettings.h"
+#include "quotadivider.h"
 #include "quotashares.h"
 #include "stageorders.h"
 #include "usagereporter.h"
@@ -46,7 +47,7 @@
     void tick(TimePoint now);
     /** Gives the lease up; requests still go on. */
     void beginLeaving(TimePoint now);
-    /** Stores usage and takes the status back, once the last request has ended. */
+    /** Stores usage and the last status, once the last request has ended. */
     void finishLeaving();
     bool hasLeft() const;
     /** Gateways that share the fleet's limits, as far as this one knows; at least 1. */
@@ -60,8 +61,11 @@
     void writeStatus(TimePoint now);
     void readStatuses();
     void lead(TimePoint now);
+    bool isStatusDue(TimePoint now) const;
     void divide(TimePoint now);
     void store(QuotaDivision division);
+    /** The last status, once all usage is stored. */
+    void sayFarewell();
     /** Whether all gateways have stored their figures of a window. */
     bool isUsageStored(WindowNumber window) const;
     std::optional<EngineWork> workOf(const std::string &service, TimePoint now) const;
@@ -80,6 +84,7 @@
     BasicUsageReporter<PlatformTable, Platform::OperationsApi> usage_;
     StageOrders stages_;
     GatewayLiveness liveness_;
+    QuotaDivider divider_;
 
     GatewayStatus status_;
     /** Since the last status, by service: tokens, and milliseconds of slots. */
@@ -90,18 +95,16 @@
     TimePoint nextLead_{};
     bool polling_ = false;
     bool dividing_ = false;
-    /** The stored division and its row's version; 0 where there is none. */
-    QuotaDivision division_;
+    /** Version of the division's row; 0 where there is none. */
     std::uint64_t divisionVersion_ = 0;
-    /** When this process first saw that division. */
-    TimePoint divisionSince_{};
     /** The announcement row's version that was taken over; 0 for none. */
     std::uint64_t announcementVersion_ = 0;
     bool headsKnown_ = false;
     /** Statuses were read since the lease was acquired. */
     bool statusesKnown_ = false;
     bool leaving_ = false;
-    bool statusRemoved_ = false;
+    bool saidFarewell_ = false;
+    bool hasLeft_ = false;
 };
 
 }
--- a/src/libserving/gatewaystatus.cpp
+++ b/src/libserving/gatewaystatus.cpp
@@ -30,7 +30,8 @@
                           {"beat", beat},
                           {"demand", demand},
                           {"work", std::move(services)},
-                          {"usageStoredThrough", usageStoredThrough}}
+                          {"usageStoredThrough", usageStoredThrough},
+                          {"divisionSeen", divisionSeen}}
         .dump();
 }
 
@@ -43,6 +44,7 @@
         json.at("beat").get_to(status.beat);
         json.at("demand").get_to(status.demand);
         json.at("usageStoredThrough").get_to(status.usageStoredThrough);
+        json.at("divisionSeen").get_to(status.divisionSeen);
         for (const auto &[service, each] : json.at("work").items()) {
             status.work[service] = workOf(each);
         }
@@ -52,8 +54,9 @@
     }
 }
 
-GatewayLiveness::GatewayLiveness(Duration silence)
+GatewayLiveness::GatewayLiveness(Duration silence, Duration memory)
     : silence_(silence)
+    , memory_(memory)
 {
 }
 
@@ -81,6 +84,24 @@
     return result;
 }
 
+std::map<std::string, GatewayStatus> GatewayLiveness::expected(TimePoint now) const
+{
+    std::map<std::string, GatewayStatus> result;
+    for (const auto &[vm, seen] : seen_) {
+        const Duration silent = now - seen.changedAt;
+        if (silent >= memory_) {
+            continue;
+        }
+        GatewayStatus &status = result[vm];
+        status = seen.status;
+        if (silent >= silence_) {
+            status.demand.clear();
+            status.work.clear();
+        }
+    }
+    return result;
+}
+
 bool GatewayLiveness::haveStoredUsage(std::uint64_t window, Duration silence, TimePoint now) const
 {
     return std::all_of(seen_.begin(), seen_.end(), [&](const auto &item) {
--- a/src/libserving/gatewaystatus.h
+++ b/src/libserving/gatewaystatus.h
@@ -24,6 +24,8 @@
     std::map<std::string, EngineWork> work;
     /** The last window whose usage figures are all stored. */
     std::uint64_t usageStoredThrough = 0;
+    /** The division of quotas that it acts on. */
+    std::uint64_t divisionSeen = 0;
 
     std::string toText() const;
     static absl::StatusOr<GatewayStatus> fromText(const std::string &text);
@@ -33,11 +35,14 @@
 class GatewayLiveness
 {
 public:
-    explicit GatewayLiveness(Duration silence);
+    /** @param silence time without a change after which a gateway counts as gone. @param memory time for which it may come back. */
+    GatewayLiveness(Duration silence, Duration memory);
 
     void observed(const std::map<std::string, GatewayStatus> &statuses, TimePoint now);
     /** The statuses of gateways that live, by VM. */
     std::map<std::string, GatewayStatus> living(TimePoint now) const;
+    /** The statuses of gateways that live or may come back; those that are silent were asked for nothing. */
+    std::map<std::string, GatewayStatus> expected(TimePoint now) const;
     /** Whether all gateways have stored their usage of a window; those whose row did not change for @p silence don't count. */
     bool haveStoredUsage(std::uint64_t window, Duration silence, TimePoint now) const;
 
@@ -49,6 +54,7 @@
     };
 
     Duration silence_;
+    Duration memory_;
     std::map<std::string, Seen> seen_;
 };
 
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -39,10 +39,9 @@
     return partIn(vms, fractions, customer, vm);
 }
 
-double QuotaDivision::spendable(const std::string &customer, const std::string &vm) const
+double QuotaDivision::unsettledFractionOf(const std::string &customer, const std::string &vm) const
 {
-    const double part = fractionOf(customer, vm);
-    return settled ? part : std::min(part, partIn(vmsBefore, fractionsBefore, customer, vm));
+    return std::min(fractionOf(customer, vm), partIn(vmsBefore, fractionsBefore, customer, vm));
 }
 
 QuotaDivision QuotaDivision::next(QuotaDivision wanted) const
@@ -131,17 +130,31 @@
 void QuotaShares::observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now)
 {
     proof_.proved(startedAt);
-    const bool isNew = !currentSince_ || division.number != current_.number || division.settled != current_.settled;
-    if (!isNew) {
-        return;
+    const bool isFirst = !currentSince_;
+    const bool isNew = isFirst || division.number != current_.number;
+    current_ = division;
+    if (isNew) {
+        numberSince_ = now;
     }
+    if (isNew || isSettled(now) != accruesSettled_) {
+        startAccruingAnew(now);
+    }
+}
+
+void QuotaShares::startAccruingAnew(TimePoint now)
+{
     // What accrued under the former part stays; what accrues from now on comes from the new one.
     for (auto &[name, bucket] : buckets_) {
         fill(bucket, now);
         bucket.rate = 0;
     }
-    current_ = division;
     currentSince_ = now;
+    accruesSettled_ = isSettled(now);
+}
+
+bool QuotaShares::isSettled(TimePoint now) const
+{
+    return current_.settled || now - numberSince_ >= options_.settleTime;
 }
 
 bool QuotaShares::isUsable(TimePoint now) const
@@ -151,7 +164,10 @@
 
 double QuotaShares::fractionOf(const std::string &customer, TimePoint now) const
 {
-    return isUsable(now) ? current_.spendable(customer, vm_) : 0;
+    if (!isUsable(now)) {
+        return 0;
+    }
+    return isSettled(now) ? current_.fractionOf(customer, vm_) : current_.unsettledFractionOf(customer, vm_);
 }
 
 void QuotaShares::fill(Bucket &bucket, TimePoint now)
@@ -181,6 +197,9 @@
     if (customer.rate <= 0) {
         return {true, {}};
     }
+    if (currentSince_ && isSettled(now) != accruesSettled_) {
+        startAccruingAnew(now);
+    }
     const double fraction = fractionOf(customer.name, now);
     Bucket &bucket = filledBucket(customer, fraction, now);
     QuotaVerdict verdict{bucket.level >= units, {}, fraction, bucket.level};
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -2,7 +2,7 @@
  * A gateway's part of each customer's rate. The lease holder divides the rates by the demand that gateways report and stores the division;
  * a gateway spends no more than its part. A part shrinks as soon as the division is seen and grows only when the division is settled: when
  * every gateway that still used the one before has seen the new one or stopped for want of a fresh read. So the parts never sum up to more
- * than the whole.
+ * than the whole. The lease holder settles a division early when all have seen it; otherwise each gateway waits out the time by itself.
  */
 #pragma once
 
@@ -38,8 +38,8 @@
 
     /** The part of a VM in this division alone. */
     double fractionOf(const std::string &customer, const std::string &vm) const;
-    /** The part that a VM may spend: while the division is not settled, the smaller of this one and the one before. */
-    double spendable(const std::string &customer, const std::string &vm) const;
+    /** The part that a VM may spend for certain while the division is not settled: the smaller of this one and the one before. */
+    double unsettledFractionOf(const std::string &customer, const std::string &vm) const;
     /** The division that follows this one. */
     QuotaDivision next(QuotaDivision wanted) const;
     std::string toText() const;
@@ -58,7 +58,7 @@
 {
     /** A division older than this without a fresh read may not be spent from. */
     Duration maxAge = std::chrono::milliseconds(4300);
-    /** Time after a division was stored at which it is settled; more than maxAge. */
+    /** Time after a division was read for the first time at which it is settled in any case; more than maxAge. */
     Duration settleTime = std::chrono::milliseconds(5500);
     /** Units beyond rate and burst that all VMs together may spend; evens out what dividing a burst costs. */
     double allowance = 0;
@@ -113,6 +113,9 @@
     /** Takes the next free place among the requests that are refused. @return the time until there is room for it. */
     Duration reserveRoom(Bucket &bucket, double units, TimePoint now) const;
     void noteDemand(const std::string &customer, double units);
+    bool isSettled(TimePoint now) const;
+    /** From now on units accrue under another division, or under the settled one. */
+    void startAccruingAnew(TimePoint now);
 
     std::string vm_;
     QuotaShareOptions options_;
@@ -120,6 +123,10 @@
     QuotaDivision current_;
     /** Since when nothing of a customer without a bucket was spent, and the division has been this one; nothing while none is known. */
     std::optional<TimePoint> currentSince_;
+    /** When the division with this number was first read. */
+    TimePoint numberSince_{};
+    /** Whether currentSince_ is about the settled division. */
+    bool accruesSettled_ = false;
     std::unordered_map<std::string, Bucket> buckets_;
     /** Units asked for since demand() was last called. */
     std::map<std::string, double> asked_;
--- a/tests/serving/gatewaystatus_test.cpp
+++ b/tests/serving/gatewaystatus_test.cpp
@@ -22,7 +22,7 @@
         return result;
     }
 
-    GatewayLiveness liveness_{5s};
+    GatewayLiveness liveness_{5s, 60s};
     TimePoint now_{1000s};
 };
 
@@ -40,6 +40,16 @@
     EXPECT_TRUE(liveness_.haveStoredUsage(9, 15s, now_ + 15s));
 }
 
+TEST_F(GatewayLivenessTest, GatewayIsSilentForSeconds_Expected_KeepsItWithoutDemand)
+{
+    GatewayStatus asked = status(1, 9);
+    asked.demand["desk"] = 100;
+    liveness_.observed({{"vm-1", asked}}, now_);
+    EXPECT_EQ(100, liveness_.expected(now_ + 4s).at("vm-1").demand.at("desk"));
+    EXPECT_TRUE(liveness_.expected(now_ + 6s).at("vm-1").demand.empty());
+    EXPECT_TRUE(liveness_.expected(now_ + 61s).empty());
+}
+
 TEST_F(GatewayLivenessTest, Status_RoundTrip_KeepsStoredUsage)
 {
     const auto read = GatewayStatus::fromText(status(3, 12).toText());
--- /dev/null
+++ b/tests/serving/quotadivider_test.cpp
@@ -0,0 +1,120 @@
+/**
+ * The division of quotas under changes of the fleet: gateways that freeze, stop in turn or are turned away by the store get a part again
+ * soon after they are back.
+ */
+#include "quotadivider.h"
+
+#include <gtest/gtest.h>
+
+namespace Chestnutcove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class QuotaDividerTest : public testing::Test
+{
+protected:
+    using Gateways = std::map<std::string, GatewayStatus>;
+
+    static GatewayStatus status(double demand, std::uint64_t divisionSeen)
+    {
+        GatewayStatus result;
+        result.demand["desk"] = demand;
+        result.divisionSeen = divisionSeen;
+        return result;
+    }
+
+    /** Stores what the divider wants, as the lease holder does. */
+    bool store(const Gateways &gateways)
+    {
+        const auto division = divider_.next(gateways, now_);
+        if (division) {
+            divider_.observed(*division, now_);
+        }
+        return division.has_value();
+    }
+
+    QuotaDivider divider_{QuotaDividerOptions{}};
+    TimePoint now_{1000s};
+};
+
+TEST_F(QuotaDividerTest, NoDivisionYet_FirstOne_IsSettledAtOnce)
+{
+    ASSERT_TRUE(store({{"vm-1", status(1, 0)}, {"vm-2", status(1, 0)}}));
+    EXPECT_TRUE(divider_.current().settled);
+    EXPECT_EQ(1U, divider_.current().number);
+}
+
+TEST_F(QuotaDividerTest, AllGatewaysHaveSeenTheNewOne_Division_IsSettledAtOnce)
+{
+    store({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
+    now_ += 5s;
+    ASSERT_TRUE(store({{"vm-1", status(300, 1)}, {"vm-2", status(100, 1)}}));
+    ASSERT_FALSE(divider_.current().settled);
+    now_ += 1s;
+    EXPECT_FALSE(store({{"vm-1", status(300, 2)}, {"vm-2", status(100, 1)}}));
+    EXPECT_TRUE(store({{"vm-1", status(300, 2)}, {"vm-2", status(100, 2)}}));
+    EXPECT_TRUE(divider_.current().settled);
+}
+
+TEST_F(QuotaDividerTest, OneGatewayIsCutOff_Division_IsSettledOnceItHasStopped)
+{
+    store({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
+    now_ += 5s;
+    store({{"vm-1", status(300, 1)}, {"vm-2", status(100, 1)}});
+    const Gateways gateways{{"vm-1", status(300, 2)}, {"vm-2", status(100, 1)}};
+    now_ += QuotaShareOptions{}.settleTime - 1ms;
+    EXPECT_FALSE(store(gateways));
+    now_ += 1ms;
+    EXPECT_TRUE(store(gateways));
+}
+
+TEST_F(QuotaDividerTest, GatewayJoins_DivisionIsYoung_DoesNotWaitForTheDwell)
+{
+    store({{"vm-1", status(100, 0)}});
+    now_ += 100ms;
+    ASSERT_TRUE(store({{"vm-1", status(100, 1)}, {"vm-2", status(0, 0)}}));
+    EXPECT_GT(divider_.current().fractionOf("desk", "vm-2"), 0.1);
+}
+
+TEST_F(QuotaDividerTest, GatewayFroze_ItIsBack_FindsItsEvenPartAtOnce)
+{
+    const Gateways all{{"vm-1", status(100, 9)}, {"vm-2", status(100, 9)}};
+    store(all);
+    now_ += 6s;
+    store({{"vm-1", status(200, 9)}, {"vm-2", status(0, 9)}});
+    store({{"vm-1", status(200, 9)}, {"vm-2", status(0, 9)}});
+    ASSERT_TRUE(divider_.current().settled);
+    QuotaShares shares("vm-2", {});
+    shares.observed(divider_.current(), now_, now_);
+    CustomerQuota customer;
+    customer.name = "desk";
+    customer.rate = 1000;
+    customer.burst = 1000;
+    now_ += 1s;
+    EXPECT_TRUE(shares.admit(customer, 100, now_).admitted);
+}
+
+TEST_F(QuotaDividerTest, HolderIsLostBeforeItSettles_Gateways_UseTheNewPartsByThemselves)
+{
+    store({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
+    now_ += 5s;
+    store({{"vm-1", status(300, 1)}, {"vm-2", status(100, 1)}});
+    const QuotaDivision unsettled = divider_.current();
+    ASSERT_FALSE(unsettled.settled);
+    QuotaShares shares("vm-1", {});
+    shares.observed(unsettled, now_, now_);
+    CustomerQuota customer;
+    customer.name = "desk";
+    customer.rate = 1000;
+    customer.burst = 0;
+    EXPECT_NEAR(0.5, shares.admit(customer, 0, now_).fraction, 0.01);
+    now_ += QuotaShareOptions{}.settleTime;
+    shares.observed(unsettled, now_, now_);
+    EXPECT_GT(shares.admit(customer, 0, now_).fraction, 0.65);
+}
+
+}
+
+}
