Placement: prompts that will be in time wait only for each other, and the oldest one tells how long

Cause: in bursts most long prompts were late and few refused. Once an engine had 75 ms of work every further prompt was sent as late with low urgency, late ones and new ones then waited in one line, and nobody was in time. Change: lateness is decided by the prompts that don't give way, and by the age of the oldest of them at the chosen engine, which only its own calls are needed for; engines are still chosen by the model. A late prompt is refused at once beyond 0.15 of its caller's patience (0.3 before), by the age of the oldest prompt as well, since late ones that wait longer mostly starve.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -186,15 +186,15 @@
     send(endpoint, CallWork::Run, 0, std::move(facts));
 }
 
-void ForwardedRequest::send(const EndpointRecord &endpoint, CallWork work, std::uint64_t promptTokens, Platform::ForwardingFacts facts)
+void ForwardedRequest::send(const EndpointRecord &endpoint, CallWork work, std::uint64_t tokensToRead, Platform::ForwardingFacts facts)
 {
     call_.emplace();
     call_->endpoint = endpoint;
     call_->work = work;
-    call_->promptTokens = promptTokens;
     call_->startedAt = suspendAwareNow();
+    call_->prompt = {tokensToRead, placement_.isLate, call_->startedAt};
     lastEndpoint_ = endpoint.id;
-    context_.loads.callStarted(endpoint.id, promptTokens);
+    context_.loads.callStarted(endpoint.id, call_->prompt);
     facts.customer = request_.customer;
     if (placement_.isLate) {
         facts.urgency = LateUrgency;
@@ -356,7 +356,7 @@
         context_.fleet.workDone(request_.service->name, work);
     }
     arrivals_.callEnded(call.work, outcome);
-    context_.loads.callEnded(call.endpoint.id, call.promptTokens, outcome, suspendAwareNow());
+    context_.loads.callEnded(call.endpoint.id, call.prompt, outcome, suspendAwareNow());
     if (call.connection) {
         context_.pool.release(call.endpoint, call.connection);
     }
@@ -371,7 +371,7 @@
         if (handle.ok()) {
             context_.metrics.distribution("prefill_seconds").add(toSeconds(now - call.startedAt));
             context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
-            context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts, call.promptTokens);
+            context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts, call.prompt.tokens);
             prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             promptHolder_ = call.endpoint;
             const auto engine = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), now);
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -71,7 +71,7 @@
 {
     EndpointRecord endpoint;
     CallWork work = CallWork::Run;
-    std::uint64_t promptTokens = 0;
+    PromptWork prompt;
     TimePoint startedAt;
     std::shared_ptr<EndpointConnection> connection;
     /** The answer's head, once it arrived. */
@@ -94,7 +94,7 @@
     bool payForCall(CallWork work);
     void prefill(const Placement &placement);
     void run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt);
-    void send(const EndpointRecord &endpoint, CallWork work, std::uint64_t promptTokens, Platform::ForwardingFacts facts);
+    void send(const EndpointRecord &endpoint, CallWork work, std::uint64_t tokensToRead, Platform::ForwardingFacts facts);
     void sendOn(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingFacts &facts);
 
     void onHead(const ResponseHead &head);
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -18,24 +18,48 @@
 /** A report counts less and less, and no more after this time. */
 constexpr Milliseconds ReportMemory{400};
 
+void take(std::uint64_t &sum, std::uint64_t amount)
+{
+    sum -= std::min(sum, amount);
+}
+
 }
 
-void EndpointLoads::callStarted(const std::string &endpoint, std::uint64_t promptTokens)
+void EndpointLoads::callStarted(const std::string &endpoint, const PromptWork &prompt)
 {
     Load &load = loads_[endpoint];
     ++load.calls;
-    load.promptTokens += promptTokens;
+    load.promptTokens += prompt.tokens;
+    promptTokens_ += prompt.tokens;
+    if (!prompt.isLate) {
+        load.timelyPromptTokens += prompt.tokens;
+        timelyPromptTokens_ += prompt.tokens;
+    }
+    if (prompt.tokens > 0) {
+        (prompt.isLate ? load.lateStarts : load.timelyStarts).insert(prompt.startedAt);
+    }
 }
 
-void EndpointLoads::callEnded(const std::string &endpoint, std::uint64_t promptTokens, AttemptOutcome outcome, TimePoint now)
+void EndpointLoads::callEnded(const std::string &endpoint, const PromptWork &prompt, AttemptOutcome outcome, TimePoint now)
 {
+    take(promptTokens_, prompt.tokens);
+    if (!prompt.isLate) {
+        take(timelyPromptTokens_, prompt.tokens);
+    }
     const auto it = loads_.find(endpoint);
     if (it == loads_.end()) {
         return;
     }
     Load &load = it->second;
     load.calls -= std::min(load.calls, 1U);
-    load.promptTokens -= std::min(load.promptTokens, promptTokens);
+    take(load.promptTokens, prompt.tokens);
+    if (!prompt.isLate) {
+        take(load.timelyPromptTokens, prompt.tokens);
+    }
+    auto &starts = prompt.isLate ? load.lateStarts : load.timelyStarts;
+    if (const auto start = starts.find(prompt.startedAt); start != starts.end()) {
+        starts.erase(start);
+    }
     const bool silent = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NoAnswer;
     const bool failed = silent || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Failed;
     load.failureRate += FailureWeight * ((failed ? 1 : 0) - load.failureRate);
@@ -87,4 +111,22 @@
     return load.othersReported * (1 - toSeconds(age) / toSeconds(ReportMemory));
 }
 
+Duration EndpointLoads::oldestTimelyPrompt(const std::string &endpoint, TimePoint now) const
+{
+    const Load &load = of(endpoint);
+    return load.timelyStarts.empty() ? Duration::zero() : now - *load.timelyStarts.begin();
+}
+
+Duration EndpointLoads::oldestPrompt(const std::string &endpoint, TimePoint now) const
+{
+    const Load &load = of(endpoint);
+    const Duration late = load.lateStarts.empty() ? Duration::zero() : now - *load.lateStarts.begin();
+    return std::max(late, oldestTimelyPrompt(endpoint, now));
+}
+
+double EndpointLoads::timelyShare() const
+{
+    return promptTokens_ == 0 ? 1 : static_cast<double>(timelyPromptTokens_) / static_cast<double>(promptTokens_);
+}
+
 }
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -40,26 +40,22 @@
     return placement;
 }
 
-Placement PlacementPolicy::placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
+template<typename Wait>
+Placement PlacementPolicy::bestReader(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, Wait waitOf) const
 {
-    const auto engines = candidates(query, endpoints, EngineStage::Prefill, now);
-    Placement best;
-    if (engines.empty()) {
-        return best;
-    }
     std::vector<std::string> ids;
     ids.reserve(engines.size());
     for (const auto &engine : engines) {
         ids.push_back(engine.id);
     }
     const auto order = rendezvous(sessionOf(query.parts), ids, ids.size());
+    Placement best;
     Duration bestTime = Duration::max();
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto &each) { return each.id == order[rank]; });
         const std::uint64_t tokens = tokensToRead(query, engine->id, rank == 0);
-        const Duration wait = expectedWait(*engine, now);
-        const Duration reading = fromSeconds(static_cast<double>(tokens) / options_.prefillTokensPerMs / 1000);
-        const Duration time = wait + reading + options_.rankPenalty * static_cast<int>(rank);
+        const Duration wait = waitOf(*engine);
+        const Duration time = wait + readingTime(static_cast<double>(tokens)) + options_.rankPenalty * static_cast<int>(rank);
         if (time < bestTime) {
             bestTime = time;
             best.prefill = *engine;
@@ -67,13 +63,29 @@
             best.expectedWait = wait;
         }
     }
-    const double wait = toSeconds(best.expectedWait);
-    best.isLate = wait > toSeconds(query.targetLatency) * options_.timelyWaitShare;
-    const bool tooLate = best.isLate && wait > toSeconds(query.patience) * options_.maxWaitShare;
-    best.verdict = tooLate ? Placement::Verdict::Overloaded : Placement::Verdict::Placed;
     return best;
 }
 
+Placement PlacementPolicy::placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
+{
+    const auto engines = candidates(query, endpoints, EngineStage::Prefill, now);
+    if (engines.empty()) {
+        return {};
+    }
+    Placement timely = bestReader(query, engines, [&](const EndpointRecord &engine) { return timelyWait(engine, now); });
+    timely.verdict = Placement::Verdict::Placed;
+    timely.expectedWait = std::max(timely.expectedWait, loads_.oldestTimelyPrompt(timely.prefill->id, now));
+    if (toSeconds(timely.expectedWait) <= toSeconds(query.targetLatency) * options_.timelyWaitShare) {
+        return timely;
+    }
+    Placement late = bestReader(query, engines, [&](const EndpointRecord &engine) { return expectedWait(engine, now); });
+    late.isLate = true;
+    late.expectedWait = std::max(late.expectedWait, loads_.oldestPrompt(late.prefill->id, now));
+    const bool tooLate = toSeconds(late.expectedWait) > toSeconds(query.patience) * options_.maxWaitShare;
+    late.verdict = tooLate ? Placement::Verdict::Overloaded : Placement::Verdict::Placed;
+    return late;
+}
+
 std::optional<EndpointRecord>
 PlacementPolicy::placeDecode(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
@@ -128,13 +140,23 @@
     return it != memories_.end() && it->second.places.contains(part);
 }
 
-Duration PlacementPolicy::expectedWait(const EndpointRecord &endpoint, TimePoint now) const
+Duration PlacementPolicy::readingTime(double tokens) const
 {
-    const auto &load = loads_.of(endpoint.id);
-    const double tokens = static_cast<double>(load.promptTokens) + loads_.others(endpoint.id, now) * meanTokensToRead_;
     return fromSeconds(tokens / options_.prefillTokensPerMs / 1000);
 }
 
+Duration PlacementPolicy::expectedWait(const EndpointRecord &endpoint, TimePoint now) const
+{
+    const double own = static_cast<double>(loads_.of(endpoint.id).promptTokens);
+    return readingTime(own + loads_.others(endpoint.id, now) * meanTokensToRead_);
+}
+
+Duration PlacementPolicy::timelyWait(const EndpointRecord &endpoint, TimePoint now) const
+{
+    const double own = static_cast<double>(loads_.of(endpoint.id).timelyPromptTokens);
+    return readingTime(own + loads_.others(endpoint.id, now) * meanTokensToRead_ * loads_.timelyShare());
+}
+
 double PlacementPolicy::use(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const
 {
     const auto &load = loads_.of(endpoint.id);
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -29,7 +29,7 @@
     /** The part of the target latency that a prompt may be expected to wait and still be in time. */
     double timelyWaitShare = 0.5;
     /** The part of the caller's patience that a prompt may be expected to wait before it is refused. */
-    double maxWaitShare = 0.3;
+    double maxWaitShare = 0.15;
     /** Cost of a lower place in a session's order of engines, so that gateways agree where a new session goes. */
     Duration rankPenalty = std::chrono::milliseconds(2);
     /** Extra load that an endpoint in another data centre is taken to have, in parts of its slots. */
@@ -94,7 +94,13 @@
     Placement placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
     std::uint64_t tokensToRead(const PlacementQuery &query, const std::string &endpoint, bool assumeSession) const;
     bool remembers(const std::string &endpoint, const std::string &part) const;
+    /** Time until an engine has read all that it was given, and until it has read what doesn't give way. */
     Duration expectedWait(const EndpointRecord &endpoint, TimePoint now) const;
+    Duration timelyWait(const EndpointRecord &endpoint, TimePoint now) const;
+    Duration readingTime(double tokens) const;
+    /** The engine that would be done with the prompt first if it had to wait as @p waitOf says. */
+    template<typename Wait>
+    Placement bestReader(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, Wait waitOf) const;
     double use(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const;
     std::vector<EndpointRecord> candidates(const PlacementQuery &query,
                                            const std::vector<EndpointRecord> &endpoints,
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -76,7 +76,7 @@
     addEngines(6, EngineStage::Prefill);
     const std::string home = place(longPrompt("s1")).prefill->id;
     for (int i = 0; i < 10; ++i) {
-        loads_.callStarted(home, 2890);
+        loads_.callStarted(home, {2890, false, now_});
     }
     const auto placement = place(longPrompt("s1"));
     EXPECT_EQ(placement.verdict, Placement::Verdict::Placed);
@@ -88,12 +88,54 @@
 {
     addEngines(3, EngineStage::Prefill);
     for (const auto &engine : engines_) {
-        loads_.callStarted(engine.id, 60000);
+        loads_.callStarted(engine.id, {60000, false, now_});
     }
     EXPECT_TRUE(place(longPrompt("s1")).isLate);
     EXPECT_EQ(place(longPrompt("s1")).verdict, Placement::Verdict::Placed);
     for (const auto &engine : engines_) {
-        loads_.callStarted(engine.id, 300000);
+        loads_.callStarted(engine.id, {300000, true, now_});
+    }
+    EXPECT_EQ(place(longPrompt("s1")).verdict, Placement::Verdict::Overloaded);
+}
+
+TEST_F(PlacementTest, RushOfLongPrompts_LatePromptsWaitEverywhere_NewOneIsStillTakenInTime)
+{
+    addEngines(3, EngineStage::Prefill);
+    for (const auto &engine : engines_) {
+        loads_.callStarted(engine.id, {60000, true, now_});
+    }
+    const auto placement = place(longPrompt("s1"));
+    EXPECT_EQ(placement.verdict, Placement::Verdict::Placed);
+    EXPECT_FALSE(placement.isLate);
+}
+
+TEST_F(PlacementTest, RushOfLongPrompts_OthersReportHalfOfTheirPromptsLate_OnlyTheRestCounts)
+{
+    addEngines(1, EngineStage::Prefill);
+    loads_.callStarted("engine-0", {2890, true, now_});
+    loads_.callStarted("engine-0", {2890, false, now_});
+    loads_.loadReported("engine-0", {16, 0, 32}, now_);
+    EXPECT_FALSE(place(longPrompt("s1")).isLate);
+    loads_.callStarted("engine-0", {20000, false, now_});
+    EXPECT_TRUE(place(longPrompt("s1")).isLate);
+}
+
+TEST_F(PlacementTest, RushOfLongPromptsAtOtherGateways_OwnPromptWaitsForLong_FurtherOnesStayWithTheirSessionAndGiveWay)
+{
+    addEngines(2, EngineStage::Prefill);
+    const std::string home = place(longPrompt("s1")).prefill->id;
+    loads_.callStarted(home, {100, false, now_ - 200ms});
+    const auto placement = place(longPrompt("s1"));
+    EXPECT_EQ(placement.prefill->id, home);
+    EXPECT_TRUE(placement.isLate);
+}
+
+TEST_F(PlacementTest, LatePromptsStarve_AnotherLateOne_IsRefusedAtOnce)
+{
+    addEngines(2, EngineStage::Prefill);
+    for (const auto &engine : engines_) {
+        loads_.callStarted(engine.id, {40000, false, now_});
+        loads_.callStarted(engine.id, {100, true, now_ - 400ms});
     }
     EXPECT_EQ(place(longPrompt("s1")).verdict, Placement::Verdict::Overloaded);
 }
@@ -139,8 +181,8 @@
     addEngines(2, EngineStage::Decode);
     PlacementQuery chat;
     const std::string first = place(chat).run->id;
-    loads_.callStarted(first, 0);
-    loads_.callEnded(first, 0, AttemptOutcome::NotRun, now_);
+    loads_.callStarted(first, {0, false, now_});
+    loads_.callEnded(first, {0, false, now_}, AttemptOutcome::NotRun, now_);
     EXPECT_NE(place(chat).run->id, first);
     now_ += 100ms;
     EXPECT_EQ(place(chat).run->id, first) << "tried again after a short pause";
@@ -153,8 +195,8 @@
     lookup.dataCentre = "dc-0";
     const std::string first = place(lookup).run->id;
     for (int i = 0; i < 2; ++i) {
-        loads_.callStarted(first, 0);
-        loads_.callEnded(first, 0, AttemptOutcome::NoAnswer, now_);
+        loads_.callStarted(first, {0, false, now_});
+        loads_.callEnded(first, {0, false, now_}, AttemptOutcome::NoAnswer, now_);
     }
     for (int i = 0; i < 5; ++i) {
         EXPECT_NE(place(lookup).run->id, first);
@@ -167,7 +209,7 @@
     PlacementQuery lookup;
     lookup.dataCentre = "dc-0";
     for (int i = 0; i < 20; ++i) {
-        loads_.callStarted("engine-0", 0);
+        loads_.callStarted("engine-0", {0, false, now_});
     }
     EXPECT_NE(place(lookup).run->id, "engine-0");
 }
