Stage plan: steadier, from the assumed mix on, and without requests that only wait

Change: work is averaged over 25 s (15 before) and starts from the assumed mix, scaled by the number of engines; a holder that takes over under load looks for 20 s first; a change must gain 1.5 (1.3); busy slots count up to 1.2 of the slots there are. A test with swings of 14 s and one with answers that pile up fail on the code before.

--- a/src/libserving/stageplan.cpp
+++ b/src/libserving/stageplan.cpp
@@ -78,13 +78,20 @@
     return best;
 }
 
-void StagePlan::average(const std::optional<EngineWork> &work, TimePoint now)
+void StagePlan::average(const std::optional<EngineWork> &work, std::size_t engines, TimePoint now)
 {
     if (!work) {
+        if (!workSince_) {
+            beganIdle_ = true;
+            averaged_ = options_.assumed.scaled(static_cast<double>(engines));
+            averagedAt_ = now;
+        }
         return;
     }
     if (!workSince_) {
         workSince_ = now;
+    }
+    if (!beganIdle_ && now == *workSince_) {
         averaged_ = *work;
     } else {
         const double weight = 1 - std::exp(-toSeconds(now - averagedAt_) / toSeconds(options_.average));
@@ -100,7 +107,7 @@
                                          const std::optional<EngineWork> &work,
                                          TimePoint now)
 {
-    average(work, now);
+    average(work, engines.size(), now);
     std::vector<StageChange> changes;
     const auto count = static_cast<unsigned>(engines.size());
     if (std::exchange(count_, engines.size()) != engines.size()) {
@@ -111,8 +118,11 @@
     }
     auto readers = static_cast<unsigned>(
         std::count_if(engines.begin(), engines.end(), [](const auto &engine) { return engine.stage == EngineStage::Prefill; }));
-    const bool seen = workSince_ && now - *workSince_ >= options_.firstLook;
-    const EngineWork current = seen ? averaged_ : options_.assumed;
+    const bool seen = beganIdle_ || (workSince_ && now - *workSince_ >= options_.firstLook);
+    EngineWork current = averaged_;
+    if (workSince_) {
+        current.busySlots = std::min(current.busySlots, options_.maxSlotUse * traits.slots * (count - readers));
+    }
     const unsigned wanted = readersFor(count, traits, current);
     const bool missing = readers == 0 || readers == count;
     const bool settled = now - countSince_ >= options_.countSettles;
--- a/src/libserving/stageplan.h
+++ b/src/libserving/stageplan.h
@@ -42,18 +42,21 @@
     double comfortableReading = 0.42;
     /** Use of engines that generate up to which requests find a free slot. */
     double comfortableGenerating = 0.95;
-    /** Work that is assumed until some was seen: long prompts, two thirds of them cached, with short answers, and a few long answers. */
-    EngineWork assumed{700, 2250, 0, 40};
+    /** Work for each engine that is assumed before any was seen: long prompts, two thirds of them cached, with short answers, and a few
+     * long answers. */
+    EngineWork assumed{78, 250, 0, 4.4};
+    /** Requests in progress, as a part of the slots of the engines that generate, that count at most: more of them only wait. */
+    double maxSlotUse = 1.2;
     /** A change must lower the greater use by this factor, once there is work that it interrupts. */
-    double worthwhileGain = 1.3;
+    double worthwhileGain = 1.5;
     /** Time between two changes because of the mix; repairs after losses don't wait. */
     Duration dwell = std::chrono::seconds(10);
     /** Time over which work is averaged, so that short swings are left to routing. */
-    Duration average = std::chrono::seconds(15);
+    Duration average = std::chrono::seconds(25);
     /** The number of engines must have stayed the same for this long, since engines become known one after the other. */
     Duration countSettles = std::chrono::seconds(2);
-    /** Work must have been seen for this long before the plan follows it. */
-    Duration firstLook = std::chrono::seconds(8);
+    /** A plan that begins while there is work must have seen it for this long before it follows it. */
+    Duration firstLook = std::chrono::seconds(20);
     /** Engines that each stage keeps where there are twice as many or more, so that the loss of one doesn't stop the service. */
     unsigned leastOfAStage = 2;
     /** Engines that may be away for a change at the same time, as a part of all. */
@@ -89,7 +92,7 @@
 
 private:
     double use(unsigned readers, unsigned writers, const EngineTraits &traits, const EngineWork &work) const;
-    void average(const std::optional<EngineWork> &work, TimePoint now);
+    void average(const std::optional<EngineWork> &work, std::size_t engines, TimePoint now);
 
     StagePlanOptions options_;
     /** Number of engines at the last call, and since when it has been the same. */
@@ -101,6 +104,8 @@
     /** Meaningful once work was seen. */
     EngineWork averaged_;
     std::optional<TimePoint> workSince_;
+    /** The plan began before there was work, and its average with what is assumed. */
+    bool beganIdle_ = false;
     TimePoint averagedAt_{};
 };
 
--- a/tests/serving/stageplan_test.cpp
+++ b/tests/serving/stageplan_test.cpp
@@ -108,6 +108,29 @@
     EXPECT_EQ(changes, 0U);
 }
 
+TEST_F(StagePlanTest, SwingOfFourteenSeconds_ShorterThanAChangePays_NothingChanges)
+{
+    addEngines(11, 7);
+    settle(std::nullopt);
+    std::size_t changes = 0;
+    for (int second = 0; second < 84; ++second) {
+        const bool prompts = second / 14 % 2 == 1;
+        changes += step(EngineWork{prompts ? 1400.0 : 450.0, prompts ? 3600.0 : 1300.0, 1, prompts ? 40.0 : 110.0});
+    }
+    EXPECT_EQ(changes, 0U);
+}
+
+TEST_F(StagePlanTest, AnswersPileUpInAShortRush_RequestsThatOnlyWait_MoveNoEngine)
+{
+    addEngines(11, 7);
+    settle(std::nullopt);
+    std::size_t changes = 0;
+    for (int second = 0; second < 20; ++second) {
+        changes += step(EngineWork{1400, 3600, 2, second < 12 ? 40.0 : 400.0});
+    }
+    EXPECT_EQ(changes, 0U);
+}
+
 TEST_F(StagePlanTest, LongAnswersTakeOver_ForAMinute_EnginesMoveToGenerating)
 {
     addEngines(9, 7);
