Placement: short answers go first at decode engines, long ones wait outside while no slot is near

Change: the run after a prompt that was read goes with more urgency where its answer is short; long answers are refused, with a time to come back, from 1.5 times the slots of the best engine on, short ones from 3.5 times on, and then no prompt is read for them either.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -26,7 +26,8 @@
 constexpr int ReturnFraction = 3;
 constexpr Milliseconds ShortestReturn{50};
 constexpr Milliseconds ReturnSpread{400};
-/** Requests that will be late give way to the others; 9 is the least urgent. */
+/** 0 is the most urgent and 9 the least. Requests that will be late give way to the others. */
+constexpr int ShortAnswerUrgency = 3;
 constexpr int LateUrgency = 8;
 /** Prefill calls for one request. */
 constexpr unsigned MaxPrefills = 2;
@@ -68,6 +69,7 @@
     query_.dataCentre = context_.dataCentre;
     query_.parts = request_.facts.promptParts;
     query_.promptTokens = request_.facts.promptTokens.value_or(0);
+    query_.maxOutputTokens = request_.facts.maxOutputTokens;
     query_.targetLatency = request_.route->targetLatency;
 }
 
@@ -196,7 +198,9 @@
     lastEndpoint_ = endpoint.id;
     context_.loads.callStarted(endpoint.id, call_->prompt);
     facts.customer = request_.customer;
-    if (placement_.isLate) {
+    if (work == CallWork::Run && request_.service->engine && placement_.isShort) {
+        facts.urgency = ShortAnswerUrgency;
+    } else if (placement_.isLate) {
         facts.urgency = LateUrgency;
     }
     facts.endpointId = endpoint.id;
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -28,18 +28,37 @@
 
 Placement PlacementPolicy::place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
+    Placement placement;
     if (!query.parts.empty() && query.promptTokens >= options_.wholePromptTokens) {
-        Placement placement = placePrompt(query, endpoints, now);
-        if (placement.verdict != Placement::Verdict::NoEndpoint) {
-            return placement;
-        }
+        placement = placePrompt(query, endpoints, now);
+    }
+    if (placement.verdict == Placement::Verdict::NoEndpoint) {
+        placement.run = placeDecode(query, endpoints, now);
+        placement.verdict = placement.run ? Placement::Verdict::Placed : Placement::Verdict::NoEndpoint;
+    }
+    placement.isShort = isShort(query);
+    if (placement.verdict == Placement::Verdict::Placed && !hasDecodeRoom(query, endpoints, now)) {
+        placement.verdict = Placement::Verdict::Overloaded;
+        placement.expectedWait = options_.slotWait;
     }
-    Placement placement;
-    placement.run = placeDecode(query, endpoints, now);
-    placement.verdict = placement.run ? Placement::Verdict::Placed : Placement::Verdict::NoEndpoint;
     return placement;
 }
 
+bool PlacementPolicy::isShort(const PlacementQuery &query) const
+{
+    return query.maxOutputTokens <= options_.shortAnswerTokens;
+}
+
+bool PlacementPolicy::hasDecodeRoom(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
+{
+    const auto engine = placeDecode(query, endpoints, now);
+    if (!engine || !engine->stage) {
+        return true;
+    }
+    const double requests = loads_.of(engine->id).calls + loads_.others(engine->id, now);
+    return requests < engine->slots * (isShort(query) ? options_.maxUseForShort : options_.maxUseForLong);
+}
+
 template<typename Wait>
 Placement PlacementPolicy::bestReader(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, Wait waitOf) const
 {
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -1,7 +1,8 @@
 /**
  * Chooses the endpoints of a request. Long prompts go to a prefill engine that is likely to hold their session (rendezvous hashing,
  * corrected by what this gateway has sent where) unless another one would be done sooner; then a decode engine generates. Short prompts go
- * to a decode engine whole, plain requests to the endpoint with the least work.
+ * to a decode engine whole, plain requests to the endpoint with the least work. Short answers go before long ones at decode engines, since
+ * they hold a slot for an instant; long ones are refused while they would have to wait for a slot everywhere.
  */
 #pragma once
 
@@ -34,6 +35,13 @@
     Duration rankPenalty = std::chrono::milliseconds(2);
     /** Extra load that an endpoint in another data centre is taken to have, in parts of its slots. */
     double otherDataCentrePenalty = 0.1;
+    /** Answers up to this length hold a slot for an instant only. */
+    std::uint64_t shortAnswerTokens = 16;
+    /** Requests of a decode engine as a part of its slots, up to which it gets long answers, and up to which it gets short ones. */
+    double maxUseForLong = 1.5;
+    double maxUseForShort = 3.5;
+    /** Time after which a long answer that found no slot may find one. */
+    Duration slotWait = std::chrono::seconds(1);
     /** Parts remembered for each engine. */
     std::size_t rememberedParts = 4096;
 };
@@ -43,6 +51,7 @@
     std::string dataCentre;
     std::vector<PromptPart> parts;
     std::uint64_t promptTokens = 0;
+    std::uint64_t maxOutputTokens = 0;
     Duration targetLatency{};
     /** How long the caller will still wait. */
     Duration patience{};
@@ -68,6 +77,8 @@
     Duration expectedWait{};
     /** It will not be in time, and gives way to those that will. */
     bool isLate = false;
+    /** Its answer is short, and goes before long ones. */
+    bool isShort = false;
 };
 
 class PlacementPolicy
@@ -91,6 +102,9 @@
         std::unordered_map<std::string, std::list<std::string>::iterator> places;
     };
 
+    /** Some decode engine has room for the answer. */
+    bool hasDecodeRoom(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
+    bool isShort(const PlacementQuery &query) const;
     Placement placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
     std::uint64_t tokensToRead(const PlacementQuery &query, const std::string &endpoint, bool assumeSession) const;
     bool remembers(const std::string &endpoint, const std::string &part) const;
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -34,6 +34,7 @@
         query.dataCentre = "dc-0";
         query.parts = {{"system", 2520}, {session, 3780}, {own, 2890}};
         query.promptTokens = 9190;
+        query.maxOutputTokens = 2;
         query.targetLatency = 150ms;
         query.patience = 2s;
         return query;
@@ -163,6 +164,35 @@
     EXPECT_EQ(placement.run->stage, EngineStage::Decode);
 }
 
+TEST_F(PlacementTest, LongAnswersFillAllSlots_FurtherLongOne_IsRefusedAndShortOneIsNot)
+{
+    addEngines(2, EngineStage::Prefill);
+    addEngines(2, EngineStage::Decode);
+    for (const auto &engine : engines_) {
+        for (unsigned i = 0; engine.stage == EngineStage::Decode && i < 2 * engine.slots; ++i) {
+            loads_.callStarted(engine.id, {});
+        }
+    }
+    PlacementQuery chat = longPrompt("s1");
+    chat.parts = {{"s1", 80}, {"own", 140}};
+    chat.promptTokens = 220;
+    chat.maxOutputTokens = 90;
+    EXPECT_EQ(place(chat).verdict, Placement::Verdict::Overloaded);
+    const auto prompt = place(longPrompt("s1"));
+    EXPECT_EQ(prompt.verdict, Placement::Verdict::Placed);
+    EXPECT_TRUE(prompt.isShort);
+}
+
+TEST_F(PlacementTest, DecodeEnginesTakeNothingMore_LongPrompt_IsNotReadInVain)
+{
+    addEngines(2, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
+    for (unsigned i = 0; i < 4 * engines_.back().slots; ++i) {
+        loads_.callStarted(engines_.back().id, {});
+    }
+    EXPECT_EQ(place(longPrompt("s1")).verdict, Placement::Verdict::Overloaded);
+}
+
 TEST_F(PlacementTest, NoPrefillEngine_LongPrompt_RunsWholeOnADecodeEngine)
 {
     addEngines(3, EngineStage::Decode);
