Lease: given up at a planned stop also while a renewal is in progress or not read back

The lease was given up only where its row's version was known and no renewal was under way, which holds for about half of the time; otherwise the successor waited out the whole lease. Ruled out: the slow store (it was back at 5.7 s); the successors' polls (one a second). Change: giving up is remembered, and written with the first poll after the row was read back. Two tests fail on the code before.

--- a/src/chestnutcove/dutylease.h
+++ b/src/chestnutcove/dutylease.h
@@ -70,11 +70,10 @@
         }
     }
 
-    void release(TimePoint now)
+    /** Takes effect with the following ticks. */
+    void release()
     {
-        if (const auto write = keeper_.release(now)) {
-            send(*write);
-        }
+        keeper_.release();
     }
 
     const LeaseKeeper &keeper() const
--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -305,9 +305,9 @@
     });
 }
 
-void FleetCoordinator::beginLeaving(TimePoint now)
+void FleetCoordinator::beginLeaving()
 {
-    lease_.release(now);
+    lease_.release();
 }
 
 void FleetCoordinator::finishLeaving()
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -46,7 +46,7 @@
     /** To be called several times a second. */
     void tick(TimePoint now);
     /** Gives the lease up; requests still go on. */
-    void beginLeaving(TimePoint now);
+    void beginLeaving();
     /** Stores usage and the last status, once the last request has ended. */
     void finishLeaving();
     bool hasLeft() const;
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -469,8 +469,8 @@
     onStopped_ = std::move(onStopped);
     const auto now = suspendAwareNow();
     stopAt_ = now + settings_.timing.drainNotice;
-    plannerLease_.release(now);
-    reporterLease_.release(now);
+    plannerLease_.release();
+    reporterLease_.release();
 }
 
 void Gateway::checkStopped(TimePoint now)
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -406,7 +406,7 @@
     stoppedAt_ = suspendAwareNow();
     onStopped_ = std::move(onStopped);
     callers_->announceClose();
-    fleet_.beginLeaving(stoppedAt_);
+    fleet_.beginLeaving();
 }
 
 std::uint16_t PlatformGateway::callerPort() const
--- a/src/libauthority/leasekeeper.cpp
+++ b/src/libauthority/leasekeeper.cpp
@@ -54,11 +54,13 @@
 
 std::optional<LeaseWrite> LeaseKeeper::poll(TimePoint now)
 {
-    if (!known_ || pending_ || released_) {
+    if (!known_ || pending_ || (released_ && !isOurs())) {
         return std::nullopt;
     }
     LeaseWrite write{row_, version_};
-    if (isOurs() && isValid(now)) {
+    if (released_) {
+        write.row = LeaseRow{"", 0, row_.epoch, row_.beat + 1};
+    } else if (isOurs() && isValid(now)) {
         if (now < renewAt_) {
             return std::nullopt;
         }
@@ -111,17 +113,10 @@
     known_ = false;
 }
 
-std::optional<LeaseWrite> LeaseKeeper::release(TimePoint now)
+void LeaseKeeper::release()
 {
-    const bool held = isOurs() && isValid(now) && !pending_;
     released_ = true;
     validUntil_ = {};
-    if (!held) {
-        return std::nullopt;
-    }
-    LeaseWrite write{LeaseRow{"", 0, row_.epoch, row_.beat + 1}, version_};
-    pending_ = Pending{write, now};
-    return write;
 }
 
 bool LeaseKeeper::isValid(TimePoint now) const
--- a/src/libauthority/leasekeeper.h
+++ b/src/libauthority/leasekeeper.h
@@ -62,8 +62,8 @@
     void rejected();
     /** It may have had an effect, or may yet have one. */
     void unknown();
-    /** Gives the lease up, for a planned stop. @return the write that lets others take it at once. */
-    std::optional<LeaseWrite> release(TimePoint now);
+    /** Gives the lease up, for a planned stop; poll() returns the write that lets others take it at once, as soon as one can be made. */
+    void release();
 
     /** The lease is held for certain at this time. */
     bool isValid(TimePoint now) const;
--- a/tests/authority/leasekeeper_test.cpp
+++ b/tests/authority/leasekeeper_test.cpp
@@ -247,6 +247,57 @@
     EXPECT_TRUE(successor.mayAct(start + options.duration + options.settle));
 }
 
+class ReleasedLease : public testing::Test
+{
+protected:
+    /** The holder's renewal was committed, and its new version is not read back yet. */
+    void holdAndRenew()
+    {
+        holder_.observed(std::nullopt, 0, start_);
+        ASSERT_TRUE(holder_.poll(start_));
+        holder_.committed(start_);
+        holder_.observed(holder_.row(), 1, start_);
+        now_ = start_ + options_.renewEvery;
+        renewal_ = holder_.poll(now_);
+        ASSERT_TRUE(renewal_);
+    }
+
+    LeaseOptions options_;
+    TimePoint start_{1h};
+    TimePoint now_{};
+    LeaseKeeper holder_{"a", 1, options_};
+    std::optional<LeaseWrite> renewal_;
+};
+
+TEST_F(ReleasedLease, RenewalIsInProgress_ItIsReadBack_LeaseIsGivenUpThen)
+{
+    holdAndRenew();
+    holder_.release();
+    EXPECT_FALSE(holder_.isValid(now_));
+    EXPECT_FALSE(holder_.poll(now_).has_value());
+    holder_.committed(now_);
+    EXPECT_FALSE(holder_.poll(now_).has_value()) << "the version to replace is not known";
+    holder_.observed(renewal_->row, 2, now_);
+    const auto write = holder_.poll(now_);
+    ASSERT_TRUE(write.has_value());
+    EXPECT_EQ("", write->row.holder);
+    EXPECT_EQ(2U, write->replaces);
+    EXPECT_FALSE(holder_.isValid(now_));
+}
+
+TEST_F(ReleasedLease, ItWasGivenUp_FurtherPolls_WriteNothing)
+{
+    holdAndRenew();
+    holder_.committed(now_);
+    holder_.observed(renewal_->row, 2, now_);
+    holder_.release();
+    const auto write = holder_.poll(now_);
+    ASSERT_TRUE(write.has_value());
+    holder_.committed(now_);
+    holder_.observed(write->row, 3, now_);
+    EXPECT_FALSE(holder_.poll(now_ + 1min).has_value());
+}
+
 TEST(LeaseKeeper, Released_SuccessorTakesItAtOnce)
 {
     LeaseKeeper successor("b", 2, {});
