Quotas: half of each rate is divided evenly again, and divisions follow each other after 3 s

Cause: while gateways stop in turn, callers move from one to the next within a second or two, and the division follows seconds later.

--- a/src/libserving/quotadivider.h
+++ b/src/libserving/quotadivider.h
@@ -17,7 +17,7 @@
 struct QuotaDividerOptions
 {
     /** Time between two divisions because of demand; changes of the gateways don't wait. */
-    Duration dwell = std::chrono::seconds(5);
+    Duration dwell = std::chrono::seconds(3);
     /** Time after which a division that was seen is settled, whoever has not told of it. */
     Duration settleTime = QuotaShareOptions{}.settleTime;
 };
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** The part of a rate that is divided evenly, whoever asks for it. */
-constexpr double EvenPart = 0.25;
+constexpr double EvenPart = 0.5;
 /** Time over which demand is averaged. */
 constexpr Duration DemandMemory = std::chrono::seconds(4);
 /** A part that differs by less than this is left as it is. */
