--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -326,7 +326,9 @@
     ++status_.beat;
     status_.demand.clear();
     status_.work.clear();
+    // Nothing more is counted or spent by this process, and the next one reads the division anew.
     status_.usageStoredThrough = std::numeric_limits<std::uint64_t>::max();
+    status_.divisionSeen = std::numeric_limits<std::uint64_t>::max();
     TableTransaction transaction;
     transaction.puts = {{StatusPrefix + settings_.vmName, status_.toText()}};
     table_.commit(transaction, [this](CommitOutcome) { hasLeft_ = true; });
--- a/src/libserving/gatewaystatus.cpp
+++ b/src/libserving/gatewaystatus.cpp
@@ -94,7 +94,8 @@
         }
         GatewayStatus &status = result[vm];
         status = seen.status;
-        if (silent >= silence_) {
+        status.isAway = silent >= silence_;
+        if (status.isAway) {
             status.demand.clear();
             status.work.clear();
         }
--- a/src/libserving/gatewaystatus.h
+++ b/src/libserving/gatewaystatus.h
@@ -24,6 +24,8 @@
     std::map<std::string, EngineWork> work;
     /** The last window whose usage figures are all stored. */
     std::uint64_t usageStoredThrough = 0;
+    /** It is silent: it takes no requests now. */
+    bool isAway = false;
     /** The division of quotas that it acts on. */
     std::uint64_t divisionSeen = 0;
 
--- a/src/libserving/quotadivider.cpp
+++ b/src/libserving/quotadivider.cpp
@@ -41,13 +41,17 @@
         return settled;
     }
     std::map<std::string, CustomerDemand> demand;
+    std::set<std::string> away;
     for (const auto &[vm, status] : gateways) {
         demand[vm] = status.demand;
+        if (status.isAway) {
+            away.insert(vm);
+        }
     }
     if (demand.empty()) {
         return std::nullopt;
     }
-    QuotaDivision wanted = current_.next(divideQuotas(demand));
+    QuotaDivision wanted = current_.next(divideQuotas(demand, away));
     const bool gatewaysChanged = wanted.vms != current_.vms;
     const bool dwelt = now - since_ >= options_.dwell;
     if (!isOutdated(current_, wanted) || (!gatewaysChanged && !dwelt)) {
--- a/src/libserving/quotadivider.h
+++ b/src/libserving/quotadivider.h
@@ -1,6 +1,6 @@
 /**
  * The lease holder's decisions about the division of quotas: when a new one is worth storing, and when the stored one is settled. A gateway
- * that is silent keeps its even part for a while, so that it can serve as soon as it is back.
+ * that stops or is silent keeps a small part for a while, so that it can serve as soon as it is back.
  */
 #pragma once
 
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -13,6 +13,8 @@
 
 /** The part of a rate that is divided evenly, whoever asks for it. */
 constexpr double EvenPart = 0.5;
+/** What a VM that is away gets of that, compared with one that serves. */
+constexpr double AwayWeight = 0.25;
 /** Time over which demand is averaged. */
 constexpr Duration DemandMemory = std::chrono::seconds(4);
 /** A part that differs by less than this is left as it is. */
@@ -81,17 +83,19 @@
     }
 }
 
-QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm)
+QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm, const std::set<std::string> &away)
 {
     QuotaDivision division;
     CustomerDemand total;
+    const auto weightOf = [&away](const std::string &vm) { return away.contains(vm) ? AwayWeight : 1.0; };
+    double weights = 0;
     for (const auto &[vm, demand] : demandOfVm) {
         division.vms.push_back(vm);
+        weights += weightOf(vm);
         for (const auto &[customer, rate] : demand) {
             total[customer] += rate;
         }
     }
-    const double even = EvenPart / static_cast<double>(std::max<std::size_t>(1, division.vms.size()));
     for (const auto &[customer, sum] : total) {
         if (sum <= 0) {
             continue;
@@ -99,7 +103,7 @@
         for (const auto &[vm, demand] : demandOfVm) {
             const auto it = demand.find(customer);
             const double own = it == demand.end() ? 0 : it->second;
-            division.fractions[customer][vm] = even + (1 - EvenPart) * own / sum;
+            division.fractions[customer][vm] = EvenPart * weightOf(vm) / weights + (1 - EvenPart) * own / sum;
         }
     }
     return division;
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,7 +51,8 @@
 using CustomerDemand = std::map<std::string, double>;
 
 /** A part of each rate is divided evenly, so that a VM can take sudden load, and the rest by demand. */
-QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm);
+/** @param away VMs that serve nobody now and may soon again; they get less of what is divided evenly. */
+QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm, const std::set<std::string> &away = {});
 /** Whether the division is far enough from what demand asks for to be replaced. */
 bool isOutdated(const QuotaDivision &current, const QuotaDivision &wanted);
 
--- a/tests/serving/quotadivider_test.cpp
+++ b/tests/serving/quotadivider_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace Chestnutcove {
 
 namespace {
@@ -96,6 +98,33 @@
     EXPECT_TRUE(shares.admit(customer, 100, now_).admitted);
 }
 
+TEST_F(QuotaDividerTest, SeveralGatewaysAreSilent_Division_LeavesMostToThoseThatServe)
+{
+    Gateways gateways;
+    for (int i = 1; i <= 5; ++i) {
+        gateways["vm-" + std::to_string(i)] = status(100, 9);
+    }
+    store(gateways);
+    for (const char *vm : {"vm-1", "vm-2", "vm-3"}) {
+        gateways[vm].isAway = true;
+        gateways[vm].demand.clear();
+    }
+    now_ += 4s;
+    ASSERT_TRUE(store(gateways));
+    EXPECT_GT(divider_.current().fractionOf("desk", "vm-4"), 0.4);
+    EXPECT_GT(divider_.current().fractionOf("desk", "vm-1"), 0.03);
+}
+
+TEST_F(QuotaDividerTest, GatewayHasStopped_ItsLastStatus_SettlesTheDivision)
+{
+    store({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
+    now_ += 5s;
+    const Gateways gateways{{"vm-1", status(300, 2)}, {"vm-2", status(0, std::numeric_limits<std::uint64_t>::max())}};
+    ASSERT_TRUE(store(gateways));
+    EXPECT_TRUE(store(gateways));
+    EXPECT_TRUE(divider_.current().settled);
+}
+
 TEST_F(QuotaDividerTest, HolderIsLostBeforeItSettles_Gateways_UseTheNewPartsByThemselves)
 {
     store({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
