Request forwarding: a prompt that was read is offered to a second engine, and freed where none takes it

Besides, three faults seen when reading the code: a request was still sent when its time had run out while it waited for a connection, or to an endpoint that had begun to leave meanwhile; an endpoint whose answer had begun counted as silent when the request timed out; and at the very first start of a fleet buckets began empty though nobody can have spent anything (the process test of usage windows met that as a 429 with the new order of events). Ruled out for the latter: the test's own pace (its second request comes 0.3 ms after the first at 1 unit a millisecond). Change: the prompt stays held until an endpoint may have taken it; a second decode engine is offered it before it is read again, and it is freed at the end. Requests that are too late, or whose endpoint leaves, count as not sent. Buckets begin full under a division that this process saw being the first. Two process tests (an engine that refuses once, and always) and two of quotas fail on the code before.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -160,6 +160,8 @@
     headsKnown_ = true;
     if (const auto it = rows.find(DivisionKey); it != rows.end()) {
         onDivision(it->second, startedAt, now);
+    } else {
+        quotas_.noDivisionYet();
     }
     if (const auto it = rows.find(StageOrders::AnnouncementKey); it != rows.end()) {
         onAnnouncement(it->second, now);
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -31,6 +31,8 @@
 constexpr int LateUrgency = 8;
 /** Prefill calls for one request. */
 constexpr unsigned MaxPrefills = 2;
+/** Engines that are offered a prompt that was read, before it is read again: its memory may be gone. */
+constexpr unsigned MaxPromptOffers = 2;
 /** Callers are not spread evenly over gateways. */
 constexpr double ConnectionSkew = 1.2;
 constexpr std::string_view EventEnd = "\n\n";
@@ -179,7 +181,6 @@
 void ForwardedRequest::run(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt)
 {
     if (!payForCall(CallWork::Run)) {
-        prompt_ = prompt;
         return;
     }
     policy_.attemptStarted();
@@ -193,6 +194,7 @@
     call_.emplace();
     call_->endpoint = endpoint;
     call_->work = work;
+    call_->prefilled = facts.prefilled;
     call_->startedAt = suspendAwareNow();
     call_->prompt = {tokensToRead, placement_.isLate, call_->startedAt};
     lastEndpoint_ = endpoint.id;
@@ -212,7 +214,11 @@
         if (self->done_) {
             return;
         }
-        if (!connection.ok()) {
+        const bool isTooLate = connection.ok() && self->isTooLateFor(endpoint);
+        if (isTooLate) {
+            self->context_.pool.release(endpoint, *connection);
+        }
+        if (!connection.ok() || isTooLate) {
             const OutgoingCall call = self->closeCall(AttemptOutcome::NotSent);
             self->logFailure(call, AttemptOutcome::NotSent);
             if (call.work == CallWork::Prefill) {
@@ -226,6 +232,11 @@
     });
 }
 
+bool ForwardedRequest::isTooLateFor(const EndpointRecord &endpoint) const
+{
+    return timeLeft() <= Milliseconds::zero() || !context_.directory.isUsable(endpoint);
+}
+
 void ForwardedRequest::sendOn(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingFacts &given)
 {
     Platform::ForwardingFacts facts = given;
@@ -259,6 +270,9 @@
         context_.loads.loadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
     }
     const bool began = call_->work == CallWork::Run && !call_->answer.notRun;
+    if (began) {
+        prompt_.reset();
+    }
     if (began && !std::exchange(runBegan_, true)) {
         context_.fleet.requestRan(request_.customer);
     }
@@ -369,19 +383,16 @@
 
 void ForwardedRequest::prefillEnded(const OutgoingCall &call, AttemptOutcome outcome)
 {
-    const TimePoint now = suspendAwareNow();
     if (outcome == AttemptOutcome::Succeeded) {
         const auto handle = Platform::decodePrefilled(call.body);
         if (handle.ok()) {
-            context_.metrics.distribution("prefill_seconds").add(toSeconds(now - call.startedAt));
+            context_.metrics.distribution("prefill_seconds").add(toSeconds(suspendAwareNow() - call.startedAt));
             context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
             context_.placement.partsRead(call.endpoint.id, request_.facts.promptParts, call.prompt.tokens);
             prompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             promptHolder_ = call.endpoint;
-            const auto engine = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), now);
-            if (engine) {
-                const auto prompt = std::exchange(prompt_, std::nullopt);
-                run(*engine, prompt);
+            promptOffers_ = 0;
+            if (runHeldPrompt()) {
                 return;
             }
             releasePrompt();
@@ -410,6 +421,10 @@
     }
     const NextStep step = policy_.attemptEnded(outcome, [this] { return context_.retryBudget(request_.service->name).hasRoom(); });
     query_.excluded.insert(call.endpoint.id);
+    if (outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::NotRun) {
+        // The endpoint has taken the prompt's memory over, or may have.
+        prompt_.reset();
+    }
     take(step, call);
 }
 
@@ -417,7 +432,7 @@
 {
     switch (step) {
     case NextStep::TryAgain:
-        place();
+        tryAgain();
         return;
     case NextStep::Relay:
         relay(call);
@@ -429,6 +444,27 @@
     }
 }
 
+void ForwardedRequest::tryAgain()
+{
+    if (prompt_ && promptOffers_ < MaxPromptOffers && timeLeft() > Milliseconds::zero() && runHeldPrompt()) {
+        return;
+    }
+    releasePrompt();
+    place();
+}
+
+bool ForwardedRequest::runHeldPrompt()
+{
+    const TimePoint now = suspendAwareNow();
+    const auto engine = context_.placement.placeDecode(query_, context_.directory.usable(request_.service->name, now), now);
+    if (!engine) {
+        return false;
+    }
+    ++promptOffers_;
+    run(*engine, prompt_);
+    return true;
+}
+
 void ForwardedRequest::endWithoutAnswer()
 {
     if (policy_.mayHaveRun()) {
@@ -464,7 +500,11 @@
         if (call_->connection) {
             call_->connection->cancel();
         }
-        closeCall(AttemptOutcome::NoAnswer);
+        // An endpoint whose answer has begun is slow, not silent.
+        const AttemptOutcome outcome = call_->head ? AttemptOutcome::Broken : AttemptOutcome::NoAnswer;
+        const OutgoingCall call = closeCall(outcome);
+        logFailure(call, outcome);
+        prompt_.reset();
     }
     if (exchange_->hasBegun()) {
         exchange_->abort();
@@ -484,6 +524,7 @@
             call_->connection->cancel();
         }
         closeCall(AttemptOutcome::Succeeded);
+        prompt_.reset();
     }
     finish("caller left", 0);
 }
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -72,6 +72,8 @@
     EndpointRecord endpoint;
     CallWork work = CallWork::Run;
     PromptWork prompt;
+    /** The prompt that a run takes over, where it was read elsewhere. */
+    std::optional<Platform::PrefilledPrompt> prefilled;
     TimePoint startedAt;
     std::shared_ptr<EndpointConnection> connection;
     /** The answer's head, once it arrived. */
@@ -111,6 +113,11 @@
     void beginAnswer(const ResponseHead &head);
     void relay(const OutgoingCall &call);
     void take(NextStep step, const OutgoingCall &call);
+    void tryAgain();
+    /** Runs the request with the prompt that an engine holds for us. @return false where no engine can take it. */
+    bool runHeldPrompt();
+    /** What keeps the request from being sent now that there is a connection. */
+    bool isTooLateFor(const EndpointRecord &endpoint) const;
     /** Says whether the request may have run, where no endpoint gave an answer to pass on. */
     void endWithoutAnswer();
     void refuse(Milliseconds retryAfter);
@@ -137,6 +144,8 @@
     PlacementQuery query_;
     ArrivalCount arrivals_;
     unsigned prefills_ = 0;
+    /** Runs that were offered the held prompt. */
+    unsigned promptOffers_ = 0;
     bool workNoted_ = false;
     /** The last decision about where it goes. */
     Placement placement_;
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -139,6 +139,7 @@
     current_ = division;
     if (isNew) {
         numberSince_ = now;
+        isFirstDivision_ = isFirst && std::exchange(noneYet_, false);
     }
     if (isNew || isSettled(now) != accruesSettled_) {
         startAccruingAnew(now);
@@ -161,6 +162,11 @@
     return current_.settled || now - numberSince_ >= options_.settleTime;
 }
 
+void QuotaShares::noDivisionYet()
+{
+    noneYet_ = !currentSince_;
+}
+
 bool QuotaShares::isUsable(TimePoint now) const
 {
     return currentSince_ && proof_.isFresh(now);
@@ -191,6 +197,9 @@
     }
     bucket.rate = customer.rate * fraction;
     bucket.capacity = (customer.burst + beyond) * fraction;
+    if (isNew && isFirstDivision_) {
+        bucket.level = bucket.capacity;
+    }
     fill(bucket, now);
     return bucket;
 }
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -86,6 +86,8 @@
 
     /** The stored division was read; the read began at @p startedAt. */
     void observed(const QuotaDivision &division, TimePoint startedAt, TimePoint now);
+    /** The store was read and holds no division: nobody has spent anything yet. */
+    void noDivisionYet();
     /** Some division is known and fresh. */
     bool isUsable(TimePoint now) const;
 
@@ -123,6 +125,10 @@
     QuotaShareOptions options_;
     FreshnessProof proof_;
     QuotaDivision current_;
+    /** Nobody had spent anything before the division that is in force. */
+    bool isFirstDivision_ = false;
+    /** The store held no division when it was last read. */
+    bool noneYet_ = false;
     /** Since when nothing of a customer without a bucket was spent, and the division has been this one; nothing while none is known. */
     std::optional<TimePoint> currentSince_;
     /** When the division with this number was first read. */
--- a/tests/serving/quotashares_test.cpp
+++ b/tests/serving/quotashares_test.cpp
@@ -108,6 +108,27 @@
     EXPECT_TRUE(shares.admit(customer(), Burst, now_).admitted);
 }
 
+TEST_F(QuotaSharesTest, FleetStartsForTheFirstTime_FirstRequests_FindTheWholeBurst)
+{
+    QuotaShares shares("vm-1", {});
+    shares.noDivisionYet();
+    shares.observed(settledFor({{"vm-1", {}}}), now_, now_);
+    EXPECT_TRUE(shares.admit(customer(), Burst, now_).admitted);
+    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+}
+
+TEST_F(QuotaSharesTest, DivisionsFollowedTheFirstOne_CustomerAsksForTheFirstTime_BucketBeginsEmpty)
+{
+    const QuotaDivision first = settledFor({{"vm-1", {}}, {"vm-2", {}}});
+    QuotaDivision second = first.next(divideQuotas({{"vm-1", {{"desk", 100}}}, {"vm-2", {}}}));
+    second.settled = true;
+    QuotaShares shares("vm-1", {});
+    shares.noDivisionYet();
+    shares.observed(first, now_, now_);
+    shares.observed(second, now_, now_);
+    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+}
+
 TEST_F(QuotaSharesTest, PartWasNothingForAWhile_PartComesBack_NothingAccruedMeanwhile)
 {
     const QuotaDivision with = settledFor({{"vm-1", {}}, {"vm-2", {}}});
--- a/tests/standins/usersplatform.cpp
+++ b/tests/standins/usersplatform.cpp
@@ -109,6 +109,7 @@
     } else if (request.path == "/admin/faults") {
         down_ = body.value("down", down_);
         silentEndpoint_ = body.value("silentEndpoint", silentEndpoint_);
+        refusedRuns_ = body.value("refusedRuns", refusedRuns_);
     }
     reply.respond(200, {}, nlohmann::json{{"requests", requests_}, {"reports", reports_}}.dump());
 }
@@ -124,6 +125,15 @@
         return;
     }
     const std::string id(request.value("Attempt-Id").value_or(""));
+    if (request.value("Stage") == "prefill") {
+        reply.respond(200, {{"Attempt-Id", id}}, R"({"handle":"h1","tokens":5000,"version":1})");
+        return;
+    }
+    if (request.value("Kv-Source") && refusedRuns_ > 0) {
+        --refusedRuns_;
+        reply.respond(503, {{"Attempt-Id", id}, {"Not-Executed", "full"}}, "");
+        return;
+    }
     reply.respond(200, {{"Attempt-Id", id}, {"Response-Stamp", "signed"}, {"Server-Load", "1,0,8"}}, "served " + request.body);
 }
 
--- a/tests/standins/usersplatform.h
+++ b/tests/standins/usersplatform.h
@@ -1,6 +1,6 @@
 /**
- * Stand-in for the users' platform: its store with rows, changes and conditions, its interface for duties, and a plain endpoint that
- * remembers what it was sent.
+ * Stand-in for the users' platform: its store with rows, changes and conditions, its interface for duties, and an endpoint, plain or an
+ * engine of both stages, that remembers what it was sent.
  */
 #pragma once
 
@@ -43,6 +43,8 @@
     std::uint64_t lastVersion_ = 0;
     bool down_ = false;
     bool silentEndpoint_ = false;
+    /** Runs of prompts that were read elsewhere that are still to be refused as not run. */
+    int refusedRuns_ = 0;
     nlohmann::json requests_ = nlohmann::json::array();
     nlohmann::json reports_ = nlohmann::json::array();
 };
