--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -4,15 +4,12 @@
 #include "suspendclock.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace Chestnutcove {
 
 namespace {
 
-constexpr int FirstSuccess = 200;
-constexpr int LastSuccess = 299;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
@@ -33,27 +30,8 @@
 constexpr unsigned MaxPrefills = 2;
 /** Engines that are offered a prompt that was read, before it is read again: its memory may be gone. */
 constexpr unsigned MaxPromptOffers = 2;
-/** Callers are not spread evenly over gateways. */
-constexpr double ConnectionSkew = 1.2;
 constexpr std::string_view EventEnd = "\n\n";
 
-bool isSuccess(int status)
-{
-    return status >= FirstSuccess && status <= LastSuccess;
-}
-
-}
-
-RetryBudget &ForwardingContext::retryBudget(const std::string &service)
-{
-    const auto gateways = static_cast<double>(fleet.gateways());
-    return retryBudgets.try_emplace(service, retryRatio, retryReserve / gateways).first->second;
-}
-
-unsigned ForwardingContext::connectionLimit(const RoutedService &service) const
-{
-    const auto gateways = static_cast<double>(fleet.gateways());
-    return static_cast<unsigned>(std::ceil(service.maxConnections * std::min(1.0, ConnectionSkew / gateways)));
 }
 
 ForwardedRequest::ForwardedRequest(ForwardingContext &context, std::shared_ptr<CallerExchange> exchange, AdmittedRequest request)
@@ -281,7 +259,7 @@
 void ForwardedRequest::onBody(std::string_view bytes)
 {
     call_->body.append(bytes);
-    const bool passesOn = call_->work == CallWork::Run && isSuccess(call_->head->status) && call_->answer.isSigned;
+    const bool passesOn = call_->work == CallWork::Run && call_->isSuccess() && call_->answer.isSigned;
     if (passesOn && (isStreaming() || exchange_->hasBegun() || call_->body.size() > MaxCollectedBytes)) {
         passOnEvents();
     }
@@ -315,27 +293,9 @@
     exchange_->begin(Platform::encodeAnswer(head), std::nullopt);
 }
 
-AttemptOutcome ForwardedRequest::outcomeOf(CallEnd end) const
-{
-    if (end == CallEnd::NoAnswer) {
-        return AttemptOutcome::NoAnswer;
-    }
-    if (end == CallEnd::Broken || !call_->head) {
-        return AttemptOutcome::Broken;
-    }
-    if (call_->answer.notRun) {
-        return AttemptOutcome::NotRun;
-    }
-    if (!isSuccess(call_->head->status)) {
-        return AttemptOutcome::Failed;
-    }
-    const bool trusted = call_->answer.isSigned || call_->work == CallWork::Prefill;
-    return trusted ? AttemptOutcome::Succeeded : AttemptOutcome::Broken;
-}
-
 void ForwardedRequest::onCallEnd(CallEnd end)
 {
-    const AttemptOutcome outcome = outcomeOf(end);
+    const AttemptOutcome outcome = call_->outcomeOf(end);
     OutgoingCall call = closeCall(outcome);
     logFailure(call, outcome);
     if (call.work == CallWork::Prefill) {
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -7,51 +7,20 @@
 #include "arrivalcount.h"
 #include "attemptpolicy.h"
 #include "callerserver.h"
-#include "endpointdirectory.h"
-#include "endpointloads.h"
-#include "endpointpool.h"
-#include "fleetcoordinator.h"
-#include "log.h"
-#include "metrics.h"
+#include "forwardingcontext.h"
+#include "outgoingcall.h"
 #include "placement.h"
 #include "requestcodec.h"
-#include "retrybudget.h"
 #include "routecatalogue.h"
 
 #include <asio/steady_timer.hpp>
 
-#include <functional>
-#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 
 namespace Chestnutcove {
 
-/** What all requests of a gateway share. */
-struct ForwardingContext
-{
-    asio::io_context &events;
-    const Log &log;
-    Metrics &metrics;
-    EndpointPool &pool;
-    EndpointDirectory &directory;
-    EndpointLoads &loads;
-    PlacementPolicy &placement;
-    std::string dataCentre;
-    FleetCoordinator &fleet;
-    QuotaShares &quotas;
-    /** Repeats for each first attempt, and repeats beyond that, over all gateways. */
-    double retryRatio = 0;
-    double retryReserve = 0;
-    /** By service. */
-    std::map<std::string, RetryBudget> retryBudgets;
-
-    RetryBudget &retryBudget(const std::string &service);
-    /** Connections that this gateway may open to one endpoint. */
-    unsigned connectionLimit(const RoutedService &service) const;
-};
-
 /** A request that passed all checks. */
 struct AdmittedRequest
 {
@@ -66,22 +35,6 @@
     double quotaUnits = 0;
 };
 
-/** A call to an endpoint in progress. */
-struct OutgoingCall
-{
-    EndpointRecord endpoint;
-    CallWork work = CallWork::Run;
-    PromptWork prompt;
-    /** The prompt that a run takes over, where it was read elsewhere. */
-    std::optional<Platform::PrefilledPrompt> prefilled;
-    TimePoint startedAt;
-    std::shared_ptr<EndpointConnection> connection;
-    /** The answer's head, once it arrived. */
-    std::optional<ResponseHead> head;
-    Platform::AnswerFacts answer;
-    std::string body;
-};
-
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
@@ -102,7 +55,6 @@
     void onHead(const ResponseHead &head);
     void onBody(std::string_view bytes);
     void onCallEnd(CallEnd end);
-    AttemptOutcome outcomeOf(CallEnd end) const;
     void logFailure(const OutgoingCall &call, AttemptOutcome outcome) const;
     /** Ends the call in progress: counts it and gives its connection back. */
     OutgoingCall closeCall(AttemptOutcome outcome);
