Stopping gateway: no request begins once its last status is written

Cause: found when reading the diff. The last status says that the process acts on no division and has stored all usage; a connection opened between it and the end of the process (up to a tick) could still have spent from the quota and been counted. Ruled out: kept connections (they are closed before). Change: such a request is refused as not run, as others are that can't end before the stop.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -336,6 +336,11 @@
     table_.commit(transaction, [this](CommitOutcome) { hasLeft_ = true; });
 }
 
+bool FleetCoordinator::isLeaving() const
+{
+    return leaving_;
+}
+
 bool FleetCoordinator::hasLeft() const
 {
     return hasLeft_ || table_.isDown();
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -47,8 +47,9 @@
     void tick(TimePoint now);
     /** Gives the lease up; requests still go on. */
     void beginLeaving();
-    /** Stores usage and the last status, once the last request has ended. */
+    /** Stores usage and the last status, once the last request has ended; from then on none may begin. */
     void finishLeaving();
+    bool isLeaving() const;
     bool hasLeft() const;
     /** Gateways that share the fleet's limits, as far as this one knows; at least 1. */
     std::size_t gateways() const;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -305,6 +305,9 @@
 
 bool PlatformGateway::endsBeforeStop(const Route &route, const Platform::CallerFacts &facts) const
 {
+    if (fleet_.isLeaving()) {
+        return false;
+    }
     const Duration since = suspendAwareNow() - stoppedAt_;
     const Duration longest = std::min<Duration>(route.timeout, facts.patience.value_or(route.timeout));
     return since < FirstRefusal || since + longest < settings_.stopGrace - LeaveMargin;
