Usage: figures that missed their window are told and given up on the users' platform, not added to another

Change: the ledger is told what becomes of late figures. On the platform each report must hold a window's own requests, so they are given up, with a line for each customer; the product's own interface goes on moving them, so that no figure is lost. The loop that three tests of the stage plan repeated is one function. The test of the ledger needs the new constructor argument and can't run on the code before.

--- a/src/chestnutcove/usagereporter.h
+++ b/src/chestnutcove/usagereporter.h
@@ -33,6 +33,7 @@
     /** Time between two attempts to store the figures of a window that is over. */
     Milliseconds closedFlushInterval{400};
     SealSchedule seal;
+    LateFigures lateFigures = LateFigures::MoveToOpenWindow;
     /** Time after which the outcome of a write is given up. */
     Milliseconds writeTimeout{6000};
     Milliseconds reportTimeout{1000};
@@ -166,6 +167,7 @@
     , metrics_(metrics)
     , log_(log)
     , writer_(std::move(executor), table, options_.writeTimeout)
+    , ledger_(options_.lateFigures)
     , random_(incarnation + 1)
     , clock_(std::chrono::system_clock::now(), suspendAwareNow())
     , allStored_(std::move(allStored))
@@ -294,7 +296,13 @@
             return;
         }
         metrics_.counter("usage_late_total").add();
-        ledger_.sealed(currentWindow(), *stored);
+        for (const auto &[customer, figures] : ledger_.sealed(currentWindow(), *stored)) {
+            log_.warning("usage figures too late",
+                         {{"window", std::to_string(window)},
+                          {"customer", customer},
+                          {"requests", std::to_string(figures.requests)},
+                          {"givenUp", options_.lateFigures == LateFigures::GiveUp ? "yes" : "no"}});
+        }
     });
 }
 
--- a/src/libusage/usageledger.cpp
+++ b/src/libusage/usageledger.cpp
@@ -50,6 +50,11 @@
     return usage;
 }
 
+UsageLedger::UsageLedger(LateFigures lateFigures)
+    : lateFigures_(lateFigures)
+{
+}
+
 void UsageLedger::add(WindowNumber current, const std::string &customer, const UsageFigures &figures)
 {
     const WindowNumber window = sealedUpTo_ ? std::max(current, *sealedUpTo_ + 1) : current;
@@ -79,7 +84,7 @@
     pending_.reset();
 }
 
-void UsageLedger::sealed(WindowNumber current, const CustomerUsage &stored)
+CustomerUsage UsageLedger::sealed(WindowNumber current, const CustomerUsage &stored)
 {
     const UsageFlush flush = *std::exchange(pending_, std::nullopt);
     sealedUpTo_ = std::max(sealedUpTo_.value_or(0), flush.window);
@@ -96,7 +101,10 @@
     }
     window.figures = stored;
     window.stored = stored;
-    addUsage(windows_[std::max(current, *sealedUpTo_ + 1)].figures, late);
+    if (lateFigures_ == LateFigures::MoveToOpenWindow) {
+        addUsage(windows_[std::max(current, *sealedUpTo_ + 1)].figures, late);
+    }
+    return late;
 }
 
 bool UsageLedger::isFlushed() const
--- a/src/libusage/usageledger.h
+++ b/src/libusage/usageledger.h
@@ -2,7 +2,8 @@
  * Counts what this gateway served, per window and customer, until each figure is stored in the table service.
  *
  * The gateway writes absolute counters into its own row of a window, under the condition that the window is not sealed. When it is, what
- * the row does not hold moves to the next open window. So no figure is counted twice, and a sealed window never changes.
+ * the row does not hold moves to the next open window, or is given up where each window must hold nothing but its own. So no figure is
+ * counted twice, and a sealed window never changes.
  */
 #pragma once
 
@@ -42,16 +43,27 @@
     CustomerUsage figures;
 };
 
+/** What becomes of figures whose window was sealed without them. */
+enum class LateFigures {
+    MoveToOpenWindow,
+    GiveUp,
+};
+
 class UsageLedger
 {
 public:
+    explicit UsageLedger(LateFigures lateFigures = LateFigures::MoveToOpenWindow);
+
     void add(WindowNumber current, const std::string &customer, const UsageFigures &figures);
 
     /** The oldest window with figures that are not stored. No other is given until its outcome is told. */
     std::optional<UsageFlush> nextFlush();
     void flushed();
-    /** The window is sealed and the row holds @p stored for ever; the rest goes to @p current or a later window. */
-    void sealed(WindowNumber current, const CustomerUsage &stored);
+    /**
+     * The window is sealed and the row holds @p stored for ever.
+     * @return the rest, which goes to @p current or a later window, or is given up.
+     */
+    CustomerUsage sealed(WindowNumber current, const CustomerUsage &stored);
     /** The outcome is not known: the same figures, or more, are written again. */
     void flushUnknown();
 
@@ -69,6 +81,7 @@
         CustomerUsage stored;
     };
 
+    LateFigures lateFigures_;
     std::map<WindowNumber, Window> windows_;
     std::optional<UsageFlush> pending_;
     /** Windows up to this one are sealed for certain. */
--- a/tests/serving/stageplan_test.cpp
+++ b/tests/serving/stageplan_test.cpp
@@ -48,6 +48,17 @@
         return changes;
     }
 
+    /** Plans each second with the work of that second. */
+    template<typename WorkAt>
+    std::size_t changesOver(int seconds, WorkAt workAt)
+    {
+        std::size_t changes = 0;
+        for (int second = 0; second < seconds; ++second) {
+            changes += step(workAt(second));
+        }
+        return changes;
+    }
+
     /** Plans once and carries the changes out. */
     std::size_t step(const std::optional<EngineWork> &work)
     {
@@ -100,35 +111,30 @@
 {
     addEngines(9, 6);
     settle(std::nullopt);
-    std::size_t changes = 0;
-    for (int second = 0; second < 60; ++second) {
+    const auto work = [](int second) {
         const bool prompts = second / 3 % 2 == 0;
-        changes += step(EngineWork{prompts ? 1200.0 : 250.0, prompts ? 3600.0 : 800.0, 1, prompts ? 25.0 : 60.0});
-    }
-    EXPECT_EQ(changes, 0U);
+        return EngineWork{prompts ? 1200.0 : 250.0, prompts ? 3600.0 : 800.0, 1, prompts ? 25.0 : 60.0};
+    };
+    EXPECT_EQ(changesOver(60, work), 0U);
 }
 
 TEST_F(StagePlanTest, SwingOfFourteenSeconds_ShorterThanAChangePays_NothingChanges)
 {
     addEngines(11, 7);
     settle(std::nullopt);
-    std::size_t changes = 0;
-    for (int second = 0; second < 84; ++second) {
+    const auto work = [](int second) {
         const bool prompts = second / 14 % 2 == 1;
-        changes += step(EngineWork{prompts ? 1400.0 : 450.0, prompts ? 3600.0 : 1300.0, 1, prompts ? 40.0 : 110.0});
-    }
-    EXPECT_EQ(changes, 0U);
+        return EngineWork{prompts ? 1400.0 : 450.0, prompts ? 3600.0 : 1300.0, 1, prompts ? 40.0 : 110.0};
+    };
+    EXPECT_EQ(changesOver(84, work), 0U);
 }
 
 TEST_F(StagePlanTest, AnswersPileUpInAShortRush_RequestsThatOnlyWait_MoveNoEngine)
 {
     addEngines(11, 7);
     settle(std::nullopt);
-    std::size_t changes = 0;
-    for (int second = 0; second < 20; ++second) {
-        changes += step(EngineWork{1400, 3600, 2, second < 12 ? 40.0 : 400.0});
-    }
-    EXPECT_EQ(changes, 0U);
+    const auto work = [](int second) { return EngineWork{1400, 3600, 2, second < 12 ? 40.0 : 400.0}; };
+    EXPECT_EQ(changesOver(20, work), 0U);
 }
 
 TEST_F(StagePlanTest, LongAnswersTakeOver_ForAMinute_EnginesMoveToGenerating)
--- a/tests/usage/sealschedule_test.cpp
+++ b/tests/usage/sealschedule_test.cpp
@@ -35,6 +35,32 @@
     EXPECT_TRUE(schedule_.isDue(8000ms, false));
 }
 
+TEST(UsageLedger, WindowWasSealedWithoutFigures_EachWindowHoldsOnlyItsOwn_TheyAreGivenUpAndTold)
+{
+    UsageLedger ledger(LateFigures::GiveUp);
+    ledger.add(7, "desk", {5, 0, 0});
+    ledger.add(9, "desk", {1, 0, 0});
+    ledger.nextFlush();
+    const CustomerUsage late = ledger.sealed(9, {{"desk", {3, 0, 0}}});
+    EXPECT_EQ(2U, late.at("desk").requests);
+    const auto flush = ledger.nextFlush();
+    ASSERT_TRUE(flush);
+    EXPECT_EQ(9U, flush->window);
+    EXPECT_EQ(1U, flush->figures.at("desk").requests);
+}
+
+TEST(UsageLedger, WindowWasSealedWithoutFigures_NothingMayBeLost_TheyMoveToTheOpenWindow)
+{
+    UsageLedger ledger;
+    ledger.add(7, "desk", {5, 0, 0});
+    ledger.nextFlush();
+    EXPECT_EQ(2U, ledger.sealed(9, {{"desk", {3, 0, 0}}}).at("desk").requests);
+    const auto flush = ledger.nextFlush();
+    ASSERT_TRUE(flush);
+    EXPECT_EQ(9U, flush->window);
+    EXPECT_EQ(2U, flush->figures.at("desk").requests);
+}
+
 TEST(UsageLedger, FlushOfAWindowIsInProgress_OldestUnstored_IsStillThatWindow)
 {
     UsageLedger ledger;
