--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -10,22 +10,17 @@
 
 namespace {
 
-constexpr const char *DivisionKey = "quota/division";
 constexpr const char *StatusPrefix = "gateway/";
 constexpr const char *DutyName = "duties";
-constexpr Milliseconds PollInterval{1000};
-constexpr Milliseconds StatusInterval{2000};
 constexpr Milliseconds DutiesInterval{1000};
-/** A gateway whose status row has not changed for this long counts as unresponsive. */
-constexpr Milliseconds UnresponsiveTimeout{5500};
-/** An unresponsive gateway is expected to return within this time and keeps a small share of the quotas until then. */
+/** An unresponsive gateway is expected to return within this time, so its usage figures are waited for. */
 constexpr std::chrono::seconds GatewayReturnPeriod{60};
 /** An engine whose stage change was announced gets requests again after this time, even if it has not changed its stage. */
 constexpr Milliseconds AnnouncementLifetime{7000};
 /** The same for the first announcement that a process reads, since its age is unknown. */
 constexpr Milliseconds FirstAnnouncementLifetime{2000};
 constexpr Milliseconds OperationsTimeout{800};
-constexpr Milliseconds UsageFlushInterval{1500};
+constexpr Milliseconds SharedTableTimeout{700};
 /** A window is not sealed earlier than this after its end, because the clocks of VMs differ. */
 constexpr Milliseconds EarliestSealDelay{500};
 /** A window is sealed this long before its report is due, even if the figures of some gateways are missing. */
@@ -48,7 +43,7 @@
     UsageOptions options;
     options.vmName = settings.vmName;
     options.window = settings.usageWindow;
-    options.flushInterval = UsageFlushInterval;
+    options.flushInterval = CoordinationIntervals{}.usageWrite;
     options.sealSchedule.earliest = std::min(EarliestSealDelay, settings.usageReportDeadline / 2);
     options.sealSchedule.latest = std::max(settings.usageReportDeadline - SealBeforeReportMargin, settings.usageReportDeadline / 2);
     // Late figures are dropped, because moving them to another window would make the reports of both windows wrong.
@@ -66,7 +61,7 @@
                                    HttpClient &client,
                                    EndpointPool &pool,
                                    EndpointDirectory &directory,
-                                   QuotaShares &quotas,
+                                   QuotaAdmission &quotas,
                                    CatalogueReader catalogue,
                                    std::uint64_t incarnation,
                                    Metrics &metrics,
@@ -79,6 +74,15 @@
     , incarnation_(incarnation)
     , metrics_(metrics)
     , log_(log)
+    , sharedRows_(context,
+                  client,
+                  {"http://" + settings.store.text(), SharedTableTimeout},
+                  log,
+                  {[this](const QuotaDivision &division, TimePoint readAt) { onDivision(division, readAt); },
+                   [this](TimePoint readAt) { quotas_.onDivisionConfirmed(readAt); },
+                   [this] { quotas_.onNoDivisionStored(); },
+                   [this](const auto &stages, bool isFirst) { onStagesAnnounced(stages, isFirst); },
+                   [this](const LinkKeys &keys) { onLinkKeys(keys); }})
     , lease_(context.get_executor(), table, log, DutyName, settings.vmName, incarnation, leaseOptions())
     , operations_(client, settings.operationsApi ? "http://" + settings.operationsApi->text() : "")
     , usageReporter_(context.get_executor(),
@@ -90,13 +94,19 @@
                      metrics,
                      log,
                      [this](WindowNumber window) { return isUsageStoredByAll(window); })
-    , stageOrders_(pool, table, lease_, settings.vmName, metrics, log)
-    , liveness_(UnresponsiveTimeout, GatewayReturnPeriod)
+    , stageOrders_(pool, sharedRows_.table(), lease_, settings.vmName, metrics, log)
+    , liveness_(CoordinationIntervals{}.unresponsiveTimeout, GatewayReturnPeriod)
     , divider_(QuotaDividerOptions{})
 {
     status_.incarnation = incarnation;
 }
 
+void FleetCoordinator::start()
+{
+    sharedRows_.start();
+    tick(suspendAwareNow());
+}
+
 void FleetCoordinator::recordRequest(const std::string &customer)
 {
     if (settings_.reportsUsage && !customer.empty()) {
@@ -111,12 +121,14 @@
 
 void FleetCoordinator::tick(TimePoint now)
 {
-    if (now >= nextPollAt_) {
-        nextPollAt_ = now + PollInterval;
-        pollSharedRows(now);
+    sharedRows_.tick(now);
+    updateIntervals(now);
+    if (now >= nextLeaseReadAt_) {
+        nextLeaseReadAt_ = now + intervals_.leaseRead;
+        readLease();
     }
     if (isStatusDue(now) && !isLeaving_) {
-        nextStatusAt_ = now + StatusInterval;
+        nextStatusAt_ = now + intervals_.status;
         writeStatus(now);
     }
     lease_.tick(now);
@@ -139,84 +151,76 @@
 bool FleetCoordinator::isStatusDue(TimePoint now) const
 {
     // The lease holder waits for both before it seals a window or marks a division as settled.
-    const bool hasNews = usageReporter_.storedThrough() > status_.usageStoredThrough || divider_.current().number > status_.divisionSeen;
+    const bool hasNews = usageReporter_.storedThrough() > status_.usageStoredThrough || divider_.current().number > status_.divisionSeen
+        || quotas_.address() != status_.address;
     return now >= nextStatusAt_ || (hasNews && now - statusWrittenAt_ >= MinStatusInterval);
 }
 
-void FleetCoordinator::pollSharedRows(TimePoint now)
+void FleetCoordinator::updateIntervals(TimePoint now)
+{
+    const bool isCandidate = lease_.keeper().isValid(now) || isDutyCandidate();
+    intervals_ = CoordinationIntervals::of(gatewayCount(), isCandidate, settings_.usageWindow);
+    usageReporter_.setFlushInterval(intervals_.usageWrite);
+    liveness_.setTimeout(intervals_.unresponsiveTimeout);
+}
+
+bool FleetCoordinator::isDutyCandidate() const
 {
-    if (std::exchange(isPolling_, true)) {
+    const auto &gateways = divider_.current().gateways;
+    const auto last = gateways.begin() + static_cast<std::ptrdiff_t>(std::min(gateways.size(), MaxDutyCandidates));
+    const auto isSelf = [this](const GatewayAddress &gateway) { return gateway.vm == settings_.vmName; };
+    return gateways.empty() || std::any_of(gateways.begin(), last, isSelf);
+}
+
+void FleetCoordinator::readLease()
+{
+    if (std::exchange(isReadingLease_, true)) {
         return;
     }
-    // The store reads the range between the two keys, which includes the row of StageOrders::AnnouncementKey.
-    table_.get({lease_.rowKey(), DivisionKey}, [this, startedAt = now](const absl::StatusOr<TableRows> &rows) {
-        isPolling_ = false;
+    table_.get({lease_.rowKey()}, [this](const absl::StatusOr<TableRows> &rows) {
+        isReadingLease_ = false;
         if (rows.ok()) {
-            onSharedRows(*rows, startedAt);
+            lease_.onRowsRead(*rows, suspendAwareNow());
         }
     });
 }
 
-void FleetCoordinator::onSharedRows(const TableRows &rows, TimePoint startedAt)
+void FleetCoordinator::onDivision(const QuotaDivision &division, TimePoint readAt)
 {
-    const TimePoint now = suspendAwareNow();
-    lease_.onRowsRead(rows, now);
-    hasReadSharedRows_ = true;
-    if (const auto it = rows.find(DivisionKey); it != rows.end()) {
-        onDivisionRow(it->second, startedAt, now);
-    } else {
-        quotas_.onNoDivisionStored();
-    }
-    if (const auto it = rows.find(StageOrders::AnnouncementKey); it != rows.end()) {
-        onAnnouncementRow(it->second, now);
+    const bool isNew = division.number != divider_.current().number;
+    divider_.onDivisionRead(division, suspendAwareNow());
+    quotas_.onDivisionRead(division, readAt);
+    if (isNew) {
+        log_.info("division of quotas seen",
+                  {{"number", std::to_string(division.number)},
+                   {"gateways", std::to_string(division.gateways.size())},
+                   {"settled", division.settled ? "yes" : "no"}});
     }
 }
 
-void FleetCoordinator::onAnnouncementRow(const TableRow &row, TimePoint now)
+void FleetCoordinator::onStagesAnnounced(const std::map<std::string, EngineStage> &stages, bool isFirst)
 {
-    if (row.version <= announcementVersion_) {
-        return;
-    }
-    const bool isFirst = announcementVersion_ == 0;
-    announcementVersion_ = row.version;
-    const auto stages = StageOrders::parseAnnouncement(row.value);
-    if (!stages.ok()) {
-        log_.error("announcement of stage changes unreadable", {{"reason", std::string(stages.status().message())}});
-        return;
-    }
-    for (const auto &[id, stage] : *stages) {
+    // A process that has just started doesn't know how old the announcement is.
+    const TimePoint until = suspendAwareNow() + (isFirst ? FirstAnnouncementLifetime : AnnouncementLifetime);
+    for (const auto &[id, stage] : stages) {
         log_.info("stage change announced", {{"endpoint", id}, {"stage", std::string(nameOf(EngineStageNames, stage))}});
-        // A process that has just started doesn't know how old the announcement is.
-        directory_.onStageChangeAnnounced(id, stage, now + (isFirst ? FirstAnnouncementLifetime : AnnouncementLifetime));
+        directory_.onStageChangeAnnounced(id, stage, until);
     }
 }
 
-void FleetCoordinator::onDivisionRow(const TableRow &row, TimePoint startedAt, TimePoint now)
+void FleetCoordinator::onLinkKeys(const LinkKeys &keys)
 {
-    const auto division = QuotaDivision::fromText(row.value);
-    if (!division.ok()) {
-        log_.error("division of quotas unreadable", {{"reason", std::string(division.status().message())}});
-        return;
-    }
-    if (row.version > divisionVersion_) {
-        const bool isNew = division->number != divider_.current().number;
-        divisionVersion_ = row.version;
-        divider_.onDivisionRead(*division, now);
-        if (isNew) {
-            log_.info("division of quotas seen",
-                      {{"number", std::to_string(division->number)},
-                       {"vms", std::to_string(division->vms.size())},
-                       {"settled", division->settled ? "yes" : "no"}});
-        }
+    const auto status = quotas_.listen(keys, settings_.ip, settings_.gatewayPort);
+    if (!status.ok()) {
+        log_.error("no links between gateways", {{"reason", std::string(status.message())}});
     }
-    quotas_.onDivisionRead(*division, startedAt, now);
 }
 
 void FleetCoordinator::writeStatus(TimePoint now)
 {
     const double ms = toSeconds(now - std::exchange(statusWrittenAt_, now)) * 1000;
     ++status_.heartbeat;
-    status_.demand = quotas_.updateDemand(now);
+    status_.address = quotas_.address();
     status_.usageStoredThrough = usageReporter_.storedThrough();
     status_.divisionSeen = divider_.current().number;
     status_.work.clear();
@@ -287,30 +291,14 @@
 
 void FleetCoordinator::updateDivision(TimePoint now)
 {
-    if (isWritingDivision_ || !hasReadSharedRows_) {
+    if (sharedRows_.isWritingDivision()) {
         return;
     }
-    if (auto division = divider_.nextDivision(liveness_.expectedGateways(now), now)) {
-        writeDivision(std::move(*division));
+    if (const auto division = divider_.nextDivision(liveness_.expectedGateways(now), now)) {
+        sharedRows_.writeDivision(*division);
     }
 }
 
-void FleetCoordinator::writeDivision(QuotaDivision division)
-{
-    isWritingDivision_ = true;
-    TableTransaction transaction;
-    transaction.conditions = {{DivisionKey, divisionVersion_}};
-    transaction.puts = {{DivisionKey, division.toText()}};
-    table_.commit(transaction, [this, number = division.number, settled = division.settled](CommitOutcome outcome) {
-        // Whatever the outcome, the next poll reads the division that is stored.
-        isWritingDivision_ = false;
-        log_.info("division of quotas written",
-                  {{"number", std::to_string(number)},
-                   {"settled", settled ? "yes" : "no"},
-                   {"committed", outcome == CommitOutcome::Committed ? "yes" : "not for certain"}});
-    });
-}
-
 void FleetCoordinator::releaseLease()
 {
     lease_.release();
@@ -330,7 +318,7 @@
         return;
     }
     ++status_.heartbeat;
-    status_.demand.clear();
+    status_.isLeaving = true;
     status_.work.clear();
     // This process counts no more usage and spends no more of the quotas; its successor reads the division itself.
     status_.usageStoredThrough = std::numeric_limits<std::uint64_t>::max();
@@ -352,7 +340,7 @@
 
 std::size_t FleetCoordinator::gatewayCount() const
 {
-    return std::max<std::size_t>(1, divider_.current().vms.size());
+    return std::max<std::size_t>(1, divider_.current().gateways.size());
 }
 
 }
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -1,17 +1,19 @@
 /**
- * Coordinates the gateways through the store. Each gateway writes a status row with its demand and work. One of them holds the lease of the
+ * Coordinates the gateways through the store. Each gateway writes a status row with its work. One of them holds the lease of the
  * duties: it divides the quotas, reports usage and orders engines to change their stages. All gateways apply the stored division of quotas.
  */
 #pragma once
 
+#include "coordinationintervals.h"
 #include "dutylease.h"
 #include "endpointdirectory.h"
 #include "gatewaystatus.h"
 #include "httptable.h"
 #include "operationsapi.h"
 #include "platformsettings.h"
+#include "quotaadmission.h"
 #include "quotadivider.h"
-#include "quotashares.h"
+#include "sharedrows.h"
 #include "stageorders.h"
 #include "usagereporter.h"
 
@@ -33,12 +35,14 @@
                      HttpClient &client,
                      EndpointPool &pool,
                      EndpointDirectory &directory,
-                     QuotaShares &quotas,
+                     QuotaAdmission &quotas,
                      CatalogueReader catalogue,
                      std::uint64_t incarnation,
                      Metrics &metrics,
                      const Log &log);
 
+    /** Begins to follow the rows that all gateways share. */
+    void start();
     /** Adds a request that ran to the customer's usage. */
     void recordRequest(const std::string &customer);
     /** Adds to the work of the service that this gateway's next status reports. */
@@ -57,18 +61,20 @@
     std::size_t gatewayCount() const;
 
 private:
-    /** Reads the rows that all gateways follow: the lease, the division of quotas and the announcement of stage changes. */
-    void pollSharedRows(TimePoint now);
-    void onSharedRows(const TableRows &rows, TimePoint startedAt);
-    void onDivisionRow(const TableRow &row, TimePoint startedAt, TimePoint now);
-    void onAnnouncementRow(const TableRow &row, TimePoint now);
+    void readLease();
+    void onDivision(const QuotaDivision &division, TimePoint readAt);
+    void onStagesAnnounced(const std::map<std::string, EngineStage> &stages, bool isFirst);
+    void onLinkKeys(const LinkKeys &keys);
+    /** Adapts the intervals of all calls to the number of gateways. */
+    void updateIntervals(TimePoint now);
+    /** Whether this gateway is among those that stand ready to take over the duties. */
+    bool isDutyCandidate() const;
     void writeStatus(TimePoint now);
     void readStatuses();
     /** Performs the lease holder's duties other than reporting usage. */
     void performDuties(TimePoint now);
     bool isStatusDue(TimePoint now) const;
     void updateDivision(TimePoint now);
-    void writeDivision(QuotaDivision division);
     /** Writes the leave notice, which is a last status, once all usage is stored. */
     void sendLeaveNotice();
     /** Whether all gateways have stored their figures of a window. */
@@ -79,12 +85,13 @@
     const Platform::PlatformSettings &settings_;
     PlatformTable &table_;
     EndpointDirectory &directory_;
-    QuotaShares &quotas_;
+    QuotaAdmission &quotas_;
     CatalogueReader catalogue_;
     std::uint64_t incarnation_;
     Metrics &metrics_;
     const Log &log_;
 
+    SharedRows sharedRows_;
     BasicDutyLease<PlatformTable> lease_;
     Platform::OperationsApi operations_;
     BasicUsageReporter<PlatformTable, Platform::OperationsApi> usageReporter_;
@@ -95,17 +102,12 @@
     GatewayStatus status_;
     /** Work since the last status by service: tokens and, in busySlots, milliseconds of busy slots. */
     std::map<std::string, EngineWork> work_;
+    CoordinationIntervals intervals_;
     TimePoint statusWrittenAt_{};
-    TimePoint nextPollAt_{};
+    TimePoint nextLeaseReadAt_{};
     TimePoint nextStatusAt_{};
     TimePoint nextDutiesAt_{};
-    bool isPolling_ = false;
-    bool isWritingDivision_ = false;
-    /** Version of the row with the division of quotas; 0 if there is none. */
-    std::uint64_t divisionVersion_ = 0;
-    /** Version of the announcement row that was applied last; 0 for none. */
-    std::uint64_t announcementVersion_ = 0;
-    bool hasReadSharedRows_ = false;
+    bool isReadingLease_ = false;
     /** Whether the statuses were read since the lease was acquired. */
     bool hasReadStatuses_ = false;
     bool isLeaving_ = false;
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -31,8 +31,8 @@
     const RoutedService *service = nullptr;
     /** Empty where the route needs no key. */
     std::string customer;
-    /** Units taken from the customer's quota; refunded if the request did not run. */
-    double quotaUnits = 0;
+    /** What it took of the customer's quota; refunded if the request did not run. */
+    QuotaCharge quota;
 };
 
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -11,7 +11,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "placement.h"
-#include "quotashares.h"
+#include "quotaadmission.h"
 #include "retrybudget.h"
 #include "routecatalogue.h"
 
@@ -33,7 +33,7 @@
     PlacementPolicy &placement;
     std::string dataCentre;
     FleetCoordinator &fleet;
-    QuotaShares &quotas;
+    QuotaAdmission &quotas;
     /** Retries that each first attempt allows. */
     double retryRatio = 0;
     /** Retries beyond that ratio, over all gateways. */
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -23,7 +23,13 @@
 constexpr std::uint16_t MetricsPort = 9464;
 constexpr std::chrono::seconds MaxStoreConnectionAge{60};
 constexpr Milliseconds StoreTimeout{700};
-constexpr Milliseconds TableReadInterval{1000};
+/** A connection to the store that went silent is noticed while the platform doesn't count this VM as in touch anyway. */
+constexpr Milliseconds LongPollMargin{1200};
+constexpr Milliseconds MinLongPoll{1000};
+/** Time that remains to confirm the configuration anew if a poll for changes is not answered. */
+constexpr Milliseconds ConfirmationMargin{1300};
+/** Endpoints register one after the other; their changes are collected for this long. */
+constexpr Milliseconds EndpointCoalescingPause{250};
 constexpr Milliseconds SweepInterval{200};
 /** Keys are accepted only while the last confirmed read is younger than the bound of key revocation minus this margin. */
 constexpr Milliseconds RevocationMargin{700};
@@ -56,10 +62,19 @@
     return options;
 }
 
-TableMirrorOptions mirrorOptions()
+TableMirrorOptions endpointMirrorOptions(const Platform::PlatformSettings &settings)
 {
     TableMirrorOptions options;
-    options.readInterval = TableReadInterval;
+    options.longPollTimeout = std::max(MinLongPoll, settings.contactTime - LongPollMargin);
+    options.coalescingPause = EndpointCoalescingPause;
+    return options;
+}
+
+TableMirrorOptions configurationMirrorOptions(const Platform::PlatformSettings &settings)
+{
+    const Milliseconds freshness = settings.keyRevocation - RevocationMargin;
+    TableMirrorOptions options;
+    options.longPollTimeout = std::max(MinLongPoll, std::min(settings.contactTime - LongPollMargin, freshness - ConfirmationMargin));
     return options;
 }
 
@@ -78,7 +93,8 @@
     , directory_(EndpointDirectoryOptions{})
     , placement_(PlacementOptions{}, loads_)
     , pool_(context, EndpointPoolOptions{})
-    , quotas_(settings_.vmName, quotaOptions(settings_))
+    , quotas_(
+          context, settings_.vmName, incarnation_, quotaOptions(settings_), [this] { return catalogue_; }, metrics, log)
     , fleet_(
           settings_, context, table_, httpClient_, pool_, directory_, quotas_, [this] { return catalogue_; }, incarnation_, metrics_, log)
     , forwarding_{context,
@@ -100,16 +116,22 @@
                            Platform::OperatorTable,
                            Platform::ConfigurationKey,
                            std::string(Platform::ConfigurationKey) + '!',
-                           mirrorOptions(),
-                           {[this](const TableRows &rows, TimePoint startedAt) {
+                           configurationMirrorOptions(settings_),
+                           {[this](const TableRows &rows) {
                                 if (const auto it = rows.find(Platform::ConfigurationKey); it != rows.end()) {
                                     onConfiguration(it->second.value);
-                                    configurationFreshness_.recordRead(startedAt);
                                 }
                             },
-                            [this](const TableChanges::Change &change) {
-                                if (change.value) {
-                                    onConfiguration(*change.value);
+                            [this](const auto &changes) {
+                                for (const auto &change : changes) {
+                                    if (change.value) {
+                                        onConfiguration(*change.value);
+                                    }
+                                }
+                            },
+                            [this](TimePoint time) {
+                                if (catalogue_) {
+                                    configurationFreshness_.recordRead(time);
                                 }
                             },
                             [](bool) {}})
@@ -119,9 +141,10 @@
                       Platform::EndpointTable,
                       "",
                       "",
-                      mirrorOptions(),
-                      {[this](const TableRows &rows, TimePoint) { onEndpointRows(rows, suspendAwareNow()); },
-                       [this](const TableChanges::Change &change) { onEndpointChange(change); },
+                      endpointMirrorOptions(settings_),
+                      {[this](const TableRows &rows) { onEndpointRows(rows, suspendAwareNow()); },
+                       [this](const auto &changes) { onEndpointChanges(changes, suspendAwareNow()); },
+                       [](TimePoint) {},
                        [this](bool reachable) {
                            if (reachable) {
                                directory_.onStoreRecovered(suspendAwareNow());
@@ -156,7 +179,7 @@
     });
     configurationMirror_.start();
     endpointMirror_.start();
-    fleet_.tick(suspendAwareNow());
+    fleet_.start();
     runEvery(SweepInterval, [this](TimePoint now) {
         callerServer_->closeExpiredConnections(now);
         readinessServer_->closeExpiredConnections(now);
@@ -231,15 +254,20 @@
     dropEndedEndpoints(now);
 }
 
-void PlatformGateway::onEndpointChange(const TableChanges::Change &change)
+void PlatformGateway::onEndpointChanges(const std::vector<TableChanges::Change> &changes, TimePoint now)
 {
-    const auto record = change.value ? decodeEndpoint(change.key, *change.value) : std::nullopt;
-    if (record) {
-        directory_.onRegistered(*record);
-    } else {
-        directory_.onEntryMissing(change.key, suspendAwareNow());
+    std::vector<std::string> missing;
+    for (const auto &change : changes) {
+        const auto record = change.value ? decodeEndpoint(change.key, *change.value) : std::nullopt;
+        if (record) {
+            directory_.onRegistered(*record);
+            std::erase(missing, change.key);
+        } else {
+            missing.push_back(change.key);
+        }
     }
-    dropEndedEndpoints(suspendAwareNow());
+    directory_.onEntriesMissing(missing, now);
+    dropEndedEndpoints(now);
 }
 
 void PlatformGateway::dropEndedEndpoints(TimePoint now)
@@ -281,7 +309,14 @@
         return;
     }
     AdmittedRequest request;
+    request.catalogue = catalogue_;
+    request.route = route;
+    request.service = chooseService(*catalogue_, *route, facts.requestId);
     request.facts = std::move(facts);
+    if (request.service == nullptr) {
+        refuseRequest(exchange, request.facts, Unavailable, "route without a service", NotReadyRetryAfter);
+        return;
+    }
     if (catalogue_->needsKeys() && !route->anonymous) {
         if (!isConfigurationFresh) {
             refuseRequest(exchange, request.facts, Unavailable, "keys not fresh", NotReadyRetryAfter);
@@ -293,17 +328,16 @@
             return;
         }
         request.customer = customer->name;
-        if (!spendQuota(exchange, request, *customer)) {
+        if (customer->rate > 0) {
+            spendQuota(exchange, std::move(request), *customer);
             return;
         }
     }
-    request.catalogue = catalogue_;
-    request.route = route;
-    request.service = chooseService(*catalogue_, *route, request.facts.requestId);
-    if (request.service == nullptr) {
-        refuseRequest(exchange, request.facts, Unavailable, "route without a service", NotReadyRetryAfter);
-        return;
-    }
+    forwardRequest(exchange, std::move(request));
+}
+
+void PlatformGateway::forwardRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request)
+{
     std::make_shared<ForwardedRequest>(forwarding_, exchange, std::move(request))->start();
 }
 
@@ -317,34 +351,61 @@
     return sinceStop < AcceptAllPeriod || sinceStop + timeLimit < settings_.stopGrace - LeaveNoticeMargin;
 }
 
-bool PlatformGateway::spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request, const CustomerQuota &customer)
+void PlatformGateway::spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request, const CustomerQuota &customer)
 {
-    const TimePoint now = suspendAwareNow();
-    if (customer.rate > 0 && !quotas_.isUsable(now)) {
-        refuseRequest(exchange, request.facts, Unavailable, "no part of the quota yet", NotReadyRetryAfter);
-        return false;
+    if (!quotas_.isReady()) {
+        refuseRequest(exchange, request.facts, Unavailable, "holders of the quota not known yet", NotReadyRetryAfter);
+        return;
     }
     const auto &facts = request.facts;
     const double tokens
         = facts.promptTokens ? static_cast<double>(*facts.promptTokens + facts.maxOutputTokens) : customer.defaultRequestTokens;
     const double units = customer.countsTokens ? tokens : 1;
-    const QuotaDecision decision = quotas_.admit(customer, units, now);
-    if (!decision.admitted) {
-        const auto wait = std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(decision.wait));
-        log_.info("quota checked",
-                  {{"request", facts.requestId},
-                   {"customer", customer.name},
-                   {"units", std::to_string(static_cast<std::int64_t>(units))},
-                   {"level", std::to_string(static_cast<std::int64_t>(decision.level))},
-                   {"rate", std::to_string(static_cast<std::int64_t>(customer.rate))},
-                   {"part", std::to_string(decision.fraction)},
-                   {"division", std::to_string(quotas_.divisionNumber())},
-                   {"retryMs", std::to_string(wait.count())}});
-        refuseRequest(exchange, facts, TooManyRequests, "quota used up", wait);
-        return false;
+    const auto isDecided = std::make_shared<bool>(false);
+    // The request keeps its catalogue, and so the customer, alive.
+    const auto pending = std::make_shared<AdmittedRequest>(std::move(request));
+    const auto id = quotas_.admit(customer, units, [this, exchange, pending, &customer, units, isDecided](const QuotaVerdict &verdict) {
+        *isDecided = true;
+        exchange->onCallerGone(nullptr);
+        onQuotaVerdict(exchange, std::move(*pending), customer, units, verdict);
+    });
+    if (!*isDecided) {
+        exchange->onCallerGone([this, id, pending] {
+            quotas_.cancel(id);
+            log_.info("request done", {{"request", pending->facts.requestId}, {"outcome", "caller left before its quota was decided"}});
+        });
+    }
+}
+
+void PlatformGateway::onQuotaVerdict(const std::shared_ptr<CallerExchange> &exchange,
+                                     AdmittedRequest request,
+                                     const CustomerQuota &customer,
+                                     double units,
+                                     const QuotaVerdict &verdict)
+{
+    if (verdict.result == QuotaVerdict::Result::Admitted) {
+        request.quota = {customer.name, verdict.lots};
+        forwardRequest(exchange, std::move(request));
+        return;
+    }
+    const bool isUsedUp = verdict.result == QuotaVerdict::Result::RateLimited;
+    const auto wait = isUsedUp ? std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(verdict.wait)) : NotReadyRetryAfter;
+    const Duration asked = suspendAwareNow() - exchange->arrivedAt();
+    log_.info("quota checked",
+              {{"request", request.facts.requestId},
+               {"customer", customer.name},
+               {"units", std::to_string(static_cast<std::int64_t>(units))},
+               {"rate", std::to_string(static_cast<std::int64_t>(customer.rate))},
+               {"burst", std::to_string(static_cast<std::int64_t>(customer.burst))},
+               {"outcome", isUsedUp ? "used up" : "no holder answers"},
+               {"division", std::to_string(quotas_.divisionNumber())},
+               {"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(asked).count())},
+               {"retryMs", std::to_string(wait.count())}});
+    if (isUsedUp) {
+        refuseRequest(exchange, request.facts, TooManyRequests, "quota used up", wait);
+    } else {
+        refuseRequest(exchange, request.facts, Unavailable, "no holder of the quota answers", wait);
     }
-    request.quotaUnits = units;
-    return true;
 }
 
 const RoutedService *PlatformGateway::chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const
@@ -383,7 +444,7 @@
 
 bool PlatformGateway::isReady(TimePoint now) const
 {
-    return !isStopping_ && catalogue_ && configurationFreshness_.isFresh(now) && (!hasQuotas() || quotas_.isUsable(now));
+    return !isStopping_ && catalogue_ && configurationFreshness_.isFresh(now) && (!hasQuotas() || quotas_.isReady());
 }
 
 bool PlatformGateway::hasQuotas() const
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -57,7 +57,7 @@
     void runEvery(Milliseconds interval, std::function<void(TimePoint)> action);
     void onConfiguration(const std::string &value);
     void onEndpointRows(const TableRows &rows, TimePoint now);
-    void onEndpointChange(const TableChanges::Change &change);
+    void onEndpointChanges(const std::vector<TableChanges::Change> &changes, TimePoint now);
     std::optional<EndpointRecord> decodeEndpoint(const std::string &id, const std::string &value);
     void dropEndedEndpoints(TimePoint now);
 
@@ -73,8 +73,14 @@
      * time limit ends before the process does.
      */
     bool mayAcceptWhileStopping(const Route &route, const Platform::RequestMetadata &facts) const;
-    /** Takes the request's units from the customer's quota. @return false if that failed and the request was refused. */
-    bool spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request, const CustomerQuota &customer);
+    /** Takes the request's units from the customer's quota, possibly from other gateways, and then forwards or refuses the request. */
+    void spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request, const CustomerQuota &customer);
+    void onQuotaVerdict(const std::shared_ptr<CallerExchange> &exchange,
+                        AdmittedRequest request,
+                        const CustomerQuota &customer,
+                        double units,
+                        const QuotaVerdict &verdict);
+    void forwardRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request);
     /** Chooses one of the route's services by weight. The choice is determined by the request id and the route's name. */
     const RoutedService *chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const;
     void onStatusRequest(const std::shared_ptr<CallerExchange> &exchange);
@@ -97,7 +103,7 @@
     EndpointLoads loads_;
     PlacementPolicy placement_;
     EndpointPool pool_;
-    QuotaShares quotas_;
+    QuotaAdmission quotas_;
     FleetCoordinator fleet_;
     ForwardingContext forwarding_;
     TableMirror<PlatformTable> configurationMirror_;
--- /dev/null
+++ b/src/chestnutcove/quotalinks.cpp
@@ -0,0 +1,122 @@
+#include "quotalinks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+/** Asks that wait longer than their timeout are of no use, so few of them are queued for a gateway that can't be reached. */
+constexpr int MaxQueuedMessages = 200;
+/** The accepting side closes connections of gateways that are gone. */
+constexpr std::chrono::seconds ServerHeartbeatInterval{15};
+constexpr std::chrono::seconds ServerHeartbeatTimeout{30};
+
+LinkOptions clientOptions()
+{
+    LinkOptions options;
+    options.heartbeatInterval = std::chrono::milliseconds::zero();
+    options.maxQueuedMessages = MaxQueuedMessages;
+    options.queuesUntilConnected = true;
+    return options;
+}
+
+LinkOptions serverOptions()
+{
+    LinkOptions options;
+    options.heartbeatInterval = ServerHeartbeatInterval;
+    options.heartbeatTimeout = ServerHeartbeatTimeout;
+    options.maxQueuedMessages = MaxQueuedMessages;
+    return options;
+}
+
+}
+
+QuotaLinks::QuotaLinks(asio::io_context &context, const Log &log, Handlers handlers)
+    : ioContext_(context)
+    , log_(log)
+    , handlers_(std::move(handlers))
+{
+}
+
+absl::Status QuotaLinks::start(const LinkKeys &keys, const std::string &ip, std::uint16_t port)
+{
+    keys_ = keys;
+    linkContext_.emplace(ioContext_, keys, std::vector<std::string>{keys.publicKey});
+    server_.emplace(
+        *linkContext_,
+        [this](const LinkServer::PeerId &peer, const wire::Envelope &message) { onServerMessage(peer, message); },
+        serverOptions());
+    if (const auto status = server_->bind(ip, port); !status.ok()) {
+        server_.reset();
+        linkContext_.reset();
+        return status;
+    }
+    address_ = ip + ':' + std::to_string(server_->port());
+    log_.info("quota links started", {{"address", address_}});
+    return absl::OkStatus();
+}
+
+bool QuotaLinks::isStarted() const
+{
+    return server_.has_value();
+}
+
+const std::string &QuotaLinks::address() const
+{
+    return address_;
+}
+
+void QuotaLinks::onServerMessage(const LinkServer::PeerId &peer, const wire::Envelope &message)
+{
+    if (message.body_case() == wire::Envelope::kTokenRequest) {
+        wire::Envelope answer;
+        *answer.mutable_token_grant() = handlers_.onRequest(message.token_request());
+        server_->send(peer, answer);
+    } else if (message.body_case() == wire::Envelope::kTokenReturn) {
+        handlers_.onReturn(message.token_return());
+    }
+}
+
+bool QuotaLinks::send(const std::string &address, const wire::Envelope &message)
+{
+    if (!isStarted()) {
+        return false;
+    }
+    auto &client = clients_[address];
+    if (!client) {
+        client = std::make_unique<LinkClient>(
+            *linkContext_,
+            address,
+            keys_.publicKey,
+            [this](const wire::Envelope &answer) {
+                if (answer.body_case() == wire::Envelope::kTokenGrant) {
+                    handlers_.onGrant(answer.token_grant());
+                }
+            },
+            clientOptions());
+    }
+    return client->send(message);
+}
+
+void QuotaLinks::reconnect(const std::string &address)
+{
+    const auto it = clients_.find(address);
+    if (it != clients_.end()) {
+        it->second->reconnect();
+    }
+}
+
+void QuotaLinks::retain(const std::vector<std::string> &addresses)
+{
+    std::erase_if(clients_,
+                  [&addresses](const auto &item) { return std::find(addresses.begin(), addresses.end(), item.first) == addresses.end(); });
+}
+
+std::size_t QuotaLinks::linkCount() const
+{
+    return clients_.size();
+}
+
+}
--- /dev/null
+++ b/src/chestnutcove/sharedrows.cpp
@@ -0,0 +1,178 @@
+#include "sharedrows.h"
+
+#include "stageorders.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Chestnutcove {
+
+namespace {
+
+constexpr const char *SharedTable = "chestnutcove-shared";
+constexpr const char *DivisionKey = "quota/division";
+constexpr const char *LinkKeysKey = "links/keys";
+/** Shares may be spent for QuotaShareOptions::maxAge after the last confirmation, which is well above this. */
+constexpr Milliseconds LongPollTimeout{5000};
+constexpr Milliseconds KeyWriteInterval{700};
+
+TableMirrorOptions mirrorOptions()
+{
+    TableMirrorOptions options;
+    options.longPollTimeout = LongPollTimeout;
+    return options;
+}
+
+}
+
+SharedRows::SharedRows(asio::io_context &context, HttpClient &client, const PlatformOptions &store, const Log &log, Handlers handlers)
+    : log_(log)
+    , handlers_(std::move(handlers))
+    , table_(client, store, Platform::StoreFormat(SharedTable))
+    , mirror_(context,
+              table_,
+              log,
+              SharedTable,
+              "",
+              "",
+              mirrorOptions(),
+              {[this](const TableRows &rows) {
+                   hasRead_ = true;
+                   if (!rows.contains(DivisionKey)) {
+                       handlers_.onNoDivisionStored();
+                   }
+                   for (const auto &[key, row] : rows) {
+                       onRow(key, row.value, row.version);
+                   }
+               },
+               [this](const auto &changes) {
+                   for (const auto &change : changes) {
+                       if (change.value) {
+                           onRow(change.key, *change.value, change.version);
+                       }
+                   }
+               },
+               [this](TimePoint time) { onConfirmed(time); },
+               [](bool) {}})
+{
+}
+
+void SharedRows::start()
+{
+    mirror_.start();
+}
+
+void SharedRows::tick(TimePoint now)
+{
+    if (hasRead_ && !hasLinkKeys_ && now >= nextKeyWriteAt_) {
+        nextKeyWriteAt_ = now + KeyWriteInterval;
+        writeLinkKeys();
+    }
+}
+
+void SharedRows::onRow(const std::string &key, const std::string &value, std::uint64_t version)
+{
+    if (key == DivisionKey) {
+        auto division = QuotaDivision::fromText(value);
+        if (!division.ok()) {
+            log_.error("division of quotas unreadable", {{"reason", std::string(division.status().message())}});
+            return;
+        }
+        divisionVersion_ = version;
+        newDivision_ = std::move(*division);
+    } else if (key == StageOrders::AnnouncementKey) {
+        onAnnouncement(value, version);
+    } else if (key == LinkKeysKey) {
+        onKeys(value);
+    }
+}
+
+void SharedRows::onConfirmed(TimePoint time)
+{
+    if (newDivision_) {
+        handlers_.onDivision(*std::exchange(newDivision_, std::nullopt), time);
+    } else if (divisionVersion_ > 0) {
+        handlers_.onDivisionConfirmed(time);
+    }
+}
+
+void SharedRows::onAnnouncement(const std::string &value, std::uint64_t version)
+{
+    if (version <= announcementVersion_) {
+        return;
+    }
+    const bool isFirst = announcementVersion_ == 0;
+    announcementVersion_ = version;
+    const auto stages = StageOrders::parseAnnouncement(value);
+    if (!stages.ok()) {
+        log_.error("announcement of stage changes unreadable", {{"reason", std::string(stages.status().message())}});
+        return;
+    }
+    handlers_.onStagesAnnounced(*stages, isFirst);
+}
+
+void SharedRows::onKeys(const std::string &value)
+{
+    if (hasLinkKeys_) {
+        return;
+    }
+    const auto json = nlohmann::json::parse(value, nullptr, false);
+    const bool isComplete = json.is_object() && json.contains("public") && json["public"].is_string() && json.contains("secret")
+        && json["secret"].is_string();
+    if (!isComplete) {
+        log_.error("keys of the links between gateways unreadable", {});
+        return;
+    }
+    LinkKeys keys{json["public"].get<std::string>(), json["secret"].get<std::string>()};
+    if (!checkLinkKey(keys.publicKey).ok() || !checkLinkKey(keys.secretKey).ok()) {
+        log_.error("keys of the links between gateways are no valid keys", {});
+        return;
+    }
+    hasLinkKeys_ = true;
+    handlers_.onLinkKeys(keys);
+}
+
+void SharedRows::writeLinkKeys()
+{
+    const auto keys = generateLinkKeys();
+    if (!keys.ok()) {
+        log_.error("no keys for the links between gateways", {{"reason", std::string(keys.status().message())}});
+        return;
+    }
+    TableTransaction transaction;
+    transaction.conditions = {{LinkKeysKey, 0}};
+    transaction.puts = {{LinkKeysKey, nlohmann::json{{"public", keys->publicKey}, {"secret", keys->secretKey}}.dump()}};
+    // Whichever gateway's pair was stored first, the mirror delivers it to all.
+    table_.commit(transaction, [](CommitOutcome) {});
+}
+
+void SharedRows::writeDivision(const QuotaDivision &division)
+{
+    if (std::exchange(isWritingDivision_, true)) {
+        return;
+    }
+    TableTransaction transaction;
+    transaction.conditions = {{DivisionKey, divisionVersion_}};
+    transaction.puts = {{DivisionKey, division.toText()}};
+    table_.commit(transaction, [this, number = division.number, settled = division.settled](CommitOutcome outcome) {
+        // Whatever the outcome, the mirror delivers the division that is stored.
+        isWritingDivision_ = false;
+        log_.info("division of quotas written",
+                  {{"number", std::to_string(number)},
+                   {"settled", settled ? "yes" : "no"},
+                   {"committed", outcome == CommitOutcome::Committed ? "yes" : "not for certain"}});
+    });
+}
+
+bool SharedRows::isWritingDivision() const
+{
+    return isWritingDivision_;
+}
+
+PlatformTable &SharedRows::table()
+{
+    return table_;
+}
+
+}
--- /dev/null
+++ b/src/chestnutcove/sharedrows.h
@@ -0,0 +1,73 @@
+/**
+ * The rows that all gateways follow: the division of quotas, announced stage changes, and the key pair of the links between gateways. They
+ * have a table of their own, which seldom changes, so that a gateway can follow it by long polling.
+ */
+#pragma once
+
+#include "endpointrecord.h"
+#include "link.h"
+#include "log.h"
+#include "platformtable.h"
+#include "quotadivision.h"
+#include "tablemirror.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Chestnutcove {
+
+class SharedRows
+{
+public:
+    struct Handlers
+    {
+        /** A division was read that was the stored one at @p readAt. */
+        std::function<void(const QuotaDivision &division, TimePoint readAt)> onDivision;
+        /** The division that was read last was still the stored one at @p readAt. */
+        std::function<void(TimePoint readAt)> onDivisionConfirmed;
+        std::function<void()> onNoDivisionStored;
+        /** @param isFirst the announcement is the first that this process has read, so its age is unknown. */
+        std::function<void(const std::map<std::string, EngineStage> &stages, bool isFirst)> onStagesAnnounced;
+        std::function<void(const LinkKeys &keys)> onLinkKeys;
+    };
+
+    SharedRows(asio::io_context &context, HttpClient &client, const PlatformOptions &store, const Log &log, Handlers handlers);
+
+    void start();
+    /** Stores a key pair for the links if there is none. To be called several times a second. */
+    void tick(TimePoint now);
+    /** Replaces the division that was read last; does nothing while a write is in progress. */
+    void writeDivision(const QuotaDivision &division);
+    bool isWritingDivision() const;
+    /** The table of these rows, for other writers. */
+    PlatformTable &table();
+
+private:
+    void onRow(const std::string &key, const std::string &value, std::uint64_t version);
+    void onConfirmed(TimePoint time);
+    void onAnnouncement(const std::string &value, std::uint64_t version);
+    void onKeys(const std::string &value);
+    void writeLinkKeys();
+
+    const Log &log_;
+    Handlers handlers_;
+    PlatformTable table_;
+    TableMirror<PlatformTable> mirror_;
+    /** Decoded and not yet passed on, since the time of the read isn't known. */
+    std::optional<QuotaDivision> newDivision_;
+    /** Version of the row with the division; 0 if there is none. */
+    std::uint64_t divisionVersion_ = 0;
+    /** Version of the announcement that was passed on last; 0 for none. */
+    std::uint64_t announcementVersion_ = 0;
+    bool isWritingDivision_ = false;
+    bool hasRead_ = false;
+    bool hasLinkKeys_ = false;
+    TimePoint nextKeyWriteAt_{};
+};
+
+}
--- a/src/chestnutcove/stageorders.h
+++ b/src/chestnutcove/stageorders.h
@@ -7,11 +7,10 @@
 
 #include "dutylease.h"
 #include "endpointpool.h"
-#include "httptable.h"
 #include "metrics.h"
+#include "platformtable.h"
 #include "requestcodec.h"
 #include "stageplanner.h"
-#include "storeformat.h"
 
 #include <map>
 #include <memory>
@@ -20,8 +19,6 @@
 
 namespace Chestnutcove {
 
-using PlatformTable = BasicHttpTable<Platform::StoreFormat>;
-
 class StageOrders
 {
 public:
--- a/src/chestnutcove/tablemirror.h
+++ b/src/chestnutcove/tablemirror.h
@@ -1,44 +1,54 @@
 /**
- * Follows a table that other processes write. Long polling delivers changes at once; a periodic full read finds changes that polling missed
- * and establishes how fresh the data is.
+ * Follows a table that other processes write. After a first full read, long polling delivers changes at once, and each answer, also one
+ * without changes, confirms that the copy was complete when the service answered. Full reads are repeated rarely, to detect an error of
+ * this process or of the service, and when the service no longer has the history of changes.
  */
 #pragma once
 
 #include "log.h"
+#include "remoteclock.h"
 #include "suspendclock.h"
 #include "tableformat.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Chestnutcove {
 
 struct TableMirrorOptions
 {
+    /** How long the service may hold a poll before it answers without changes, and so the time between two confirmations of the copy. */
+    Milliseconds longPollTimeout{2000};
     /** Time between two full reads. */
-    Milliseconds readInterval{1000};
+    Milliseconds readInterval{30000};
     /** Time between a failed full read and the next. */
-    Milliseconds retryInterval{250};
-    /** How long the service may hold a poll for changes before it answers without any. */
-    Milliseconds longPollTimeout{10000};
-    /** Pause after a poll that failed or returned no changes. */
+    Milliseconds readRetryInterval{250};
+    /** Pause after a poll that failed, which doubles with each failure up to the maximum, or that returned at once without changes. */
     Milliseconds pollRetryInterval{200};
+    Milliseconds maxPollRetryInterval{800};
+    /** Pause after a poll that returned changes, so that changes which follow each other closely are returned together. */
+    Milliseconds coalescingPause{20};
 };
 
 template<typename Table>
 class TableMirror
 {
 public:
+    using Changes = std::vector<TableChanges::Change>;
+
     struct Handlers
     {
-        /** All rows as of one moment after @p startedAt. */
-        std::function<void(const TableRows &rows, TimePoint startedAt)> onRows;
-        std::function<void(const TableChanges::Change &)> onChange;
-        /** Called when full reads begin to fail, and when they succeed for the first time or again. */
+        std::function<void(const TableRows &rows)> onRows;
+        std::function<void(const Changes &changes)> onChanges;
+        /** Called after onRows or onChanges, and where there were no changes: the copy was complete at @p time. */
+        std::function<void(TimePoint time)> onConfirmed;
+        /** Called when calls begin to fail, and when they succeed for the first time or again; then before the rows or changes. */
         std::function<void(bool reachable)> onReachable;
     };
 
@@ -74,28 +84,36 @@
         if (std::exchange(isReading_, true)) {
             return;
         }
-        const TimePoint startedAt = suspendAwareNow();
-        table_.getPage(name_, from_, to_, [this, startedAt](absl::StatusOr<TablePage> page) { onPage(std::move(page), startedAt); });
+        readTimer_.cancel();
+        readPage(from_);
     }
 
-    void onPage(absl::StatusOr<TablePage> page, TimePoint startedAt)
+    void readPage(const std::string &from)
+    {
+        table_.getPage(
+            name_, from, to_, [this, sentAt = suspendAwareNow()](absl::StatusOr<TablePage> page) { onPage(std::move(page), sentAt); });
+    }
+
+    void onPage(absl::StatusOr<TablePage> page, TimePoint sentAt)
     {
-        setReachable(page.ok(), page.ok() ? "" : std::string(page.status().message()));
         if (!page.ok()) {
+            // While the copy is confirmed by polls, a failed full read doesn't make the table unreachable.
+            if (!isPollingStarted_) {
+                setReachable(false, std::string(page.status().message()));
+            }
             isReading_ = false;
             collectedRows_.clear();
-            scheduleRead(options_.retryInterval);
+            scheduleRead(options_.readRetryInterval);
             return;
         }
+        setReachable(true, "");
         if (collectedRows_.empty()) {
             firstPageVersion_ = page->version;
-            firstPageStartedAt_ = startedAt;
+            firstPageAt_ = clock_.readingTime(sentAt, page->serviceTime, suspendAwareNow());
         }
         collectedRows_.merge(std::move(page->rows));
         if (page->hasMore) {
-            const std::string nextKey = collectedRows_.rbegin()->first + '!';
-            table_.getPage(
-                name_, nextKey, to_, [this](absl::StatusOr<TablePage> nextPage) { onPage(std::move(nextPage), suspendAwareNow()); });
+            readPage(collectedRows_.rbegin()->first + '!');
             return;
         }
         const TableRows rows = std::exchange(collectedRows_, {});
@@ -103,7 +121,8 @@
         // A read that is older than the changes already applied must not undo them.
         if (firstPageVersion_ >= version_) {
             version_ = firstPageVersion_;
-            handlers_.onRows(rows, firstPageStartedAt_);
+            handlers_.onRows(rows);
+            handlers_.onConfirmed(firstPageAt_);
         }
         if (!std::exchange(isPollingStarted_, true)) {
             pollChanges();
@@ -123,42 +142,69 @@
 
     void pollChanges()
     {
-        table_.getChanges(
-            name_, version_, options_.longPollTimeout, useNewConnection_, [this](const absl::StatusOr<TableChanges> &changes) {
-                useNewConnection_ = !changes.ok();
-                if (absl::IsOutOfRange(changes.status())) {
-                    log_.warning("change history is incomplete; reading the whole table",
-                                 {{"table", name_}, {"version", std::to_string(version_)}});
-                    startRead();
-                }
-                if (!changes.ok()) {
-                    schedulePoll();
-                    return;
-                }
-                applyChanges(*changes);
-                // A service that answers at once without changes must not be polled without a pause.
-                if (changes->changes.empty()) {
-                    schedulePoll();
-                } else {
-                    pollChanges();
-                }
-            });
+        // After a failure the service is asked to answer at once, so that the copy is confirmed again soon.
+        const Milliseconds wait = pollFailures_ > 0 ? Milliseconds::zero() : options_.longPollTimeout;
+        table_.getChanges(name_,
+                          version_,
+                          wait,
+                          pollFailures_ > 0,
+                          [this, wait, sentAt = suspendAwareNow()](const absl::StatusOr<TableChanges> &changes) {
+                              onPollAnswered(changes, sentAt, wait);
+                          });
+    }
+
+    void onPollAnswered(const absl::StatusOr<TableChanges> &changes, TimePoint sentAt, Milliseconds wait)
+    {
+        if (absl::IsOutOfRange(changes.status())) {
+            log_.warning("change history is incomplete; reading the whole table",
+                         {{"table", name_}, {"version", std::to_string(version_)}});
+            startRead();
+            schedulePoll(options_.pollRetryInterval);
+            return;
+        }
+        if (!changes.ok()) {
+            // A single failure may be that of a connection that has died.
+            if (++pollFailures_ > 1) {
+                setReachable(false, std::string(changes.status().message()));
+            }
+            const auto pause = options_.pollRetryInterval * (1U << std::min(pollFailures_ - 1, MaxPauseDoublings));
+            schedulePoll(std::min<Milliseconds>(pause, options_.maxPollRetryInterval));
+            return;
+        }
+        pollFailures_ = 0;
+        setReachable(true, "");
+        const TimePoint now = suspendAwareNow();
+        applyChanges(*changes);
+        handlers_.onConfirmed(clock_.readingTime(sentAt, changes->serviceTime, now));
+        // A service that answers at once without changes must not be polled without a pause.
+        const bool isTooSoon = changes->changes.empty() && wait > Milliseconds::zero() && now - sentAt < options_.pollRetryInterval;
+        if (isTooSoon) {
+            schedulePoll(options_.pollRetryInterval);
+        } else if (!changes->changes.empty()) {
+            schedulePoll(options_.coalescingPause);
+        } else {
+            pollChanges();
+        }
     }
 
     void applyChanges(const TableChanges &changes)
     {
+        Changes fresh;
         for (const auto &change : changes.changes) {
             const bool isInRange = change.key >= from_ && (to_.empty() || change.key < to_);
             if (isInRange && change.version > version_) {
-                handlers_.onChange(change);
+                fresh.push_back(change);
             }
         }
         version_ = std::max(version_, changes.version);
+        if (!fresh.empty()) {
+            handlers_.onChanges(fresh);
+        }
     }
 
-    void schedulePoll()
+    void schedulePoll(Milliseconds pause)
     {
-        pollTimer_.expires_after(options_.pollRetryInterval);
+        pollTimer_.expires_after(pause);
         pollTimer_.async_wait([this](const std::error_code &error) {
             if (!error) {
                 pollChanges();
@@ -179,6 +225,8 @@
         handlers_.onReachable(reachable);
     }
 
+    static constexpr unsigned MaxPauseDoublings = 8;
+
     Table &table_;
     const Log &log_;
     std::string name_;
@@ -188,16 +236,17 @@
     Handlers handlers_;
     asio::steady_timer readTimer_;
     asio::steady_timer pollTimer_;
+    RemoteClock clock_;
     /** Rows of the full read in progress, collected over its pages. */
     TableRows collectedRows_;
     std::uint64_t firstPageVersion_ = 0;
-    TimePoint firstPageStartedAt_{};
+    TimePoint firstPageAt_{};
     /** All changes up to this version were applied. */
     std::uint64_t version_ = 0;
+    /** Number of polls that failed since the last one that succeeded. */
+    unsigned pollFailures_ = 0;
     bool isReading_ = false;
     bool isPollingStarted_ = false;
-    /** The last poll failed, so the next one uses a new connection. */
-    bool useNewConnection_ = false;
     bool isReachable_ = false;
 };
 
--- a/src/chestnutcove/usagereporter.h
+++ b/src/chestnutcove/usagereporter.h
@@ -99,6 +99,8 @@
     void add(const std::string &customer, const UsageFigures &figures);
     /** Stores figures that are due, and performs the reporter's duty while this gateway holds its lease. */
     void tick(TimePoint now);
+    /** @param interval time between two writes of changed figures. */
+    void setFlushInterval(Milliseconds interval);
     /** Stores the remaining figures at once, for a planned stop. */
     void flushNow();
     bool isFlushed() const;
@@ -200,6 +202,12 @@
     ledger_.add(currentWindow(), customer, figures);
 }
 
+template<TableService Table, UsageSink Sink>
+void BasicUsageReporter<Table, Sink>::setFlushInterval(Milliseconds interval)
+{
+    options_.flushInterval = interval;
+}
+
 template<TableService Table, UsageSink Sink>
 bool BasicUsageReporter<Table, Sink>::isFlushed() const
 {
--- a/src/libbase/rendezvous.cpp
+++ b/src/libbase/rendezvous.cpp
@@ -16,14 +16,27 @@
 
 std::vector<std::string> rendezvous(std::string_view key, std::vector<std::string> candidates, std::size_t count)
 {
+    struct Scored
+    {
+        std::uint64_t score = 0;
+        std::string name;
+    };
     const std::uint64_t keyHash = rendezvousHash(key);
-    std::sort(candidates.begin(), candidates.end(), [keyHash](const std::string &left, const std::string &right) {
-        const auto leftScore = rendezvousScore(keyHash, rendezvousHash(left));
-        const auto rightScore = rendezvousScore(keyHash, rendezvousHash(right));
-        return leftScore != rightScore ? leftScore > rightScore : left < right;
+    std::vector<Scored> scored;
+    scored.reserve(candidates.size());
+    for (std::string &candidate : candidates) {
+        const std::uint64_t score = rendezvousScore(keyHash, rendezvousHash(candidate));
+        scored.push_back({score, std::move(candidate)});
+    }
+    const auto first = scored.begin() + static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
+    std::partial_sort(scored.begin(), first, scored.end(), [](const Scored &left, const Scored &right) {
+        return left.score != right.score ? left.score > right.score : left.name < right.name;
     });
-    candidates.resize(std::min(count, candidates.size()));
-    return candidates;
+    std::vector<std::string> chosen;
+    for (auto it = scored.begin(); it != first; ++it) {
+        chosen.push_back(std::move(it->name));
+    }
+    return chosen;
 }
 
 }
--- a/src/liblimits/sharebucket.cpp
+++ b/src/liblimits/sharebucket.cpp
@@ -59,6 +59,18 @@
     return taken;
 }
 
+void ShareBucket::fill(TimePoint now)
+{
+    advance(now);
+    level_ = std::max(level_, cap_ - reserved_ - outstanding_);
+}
+
+void ShareBucket::putBack(double amount, TimePoint now)
+{
+    advance(now);
+    level_ = std::max(level_, std::min(level_ + amount, cap_ - reserved_ - outstanding_));
+}
+
 double ShareBucket::reserve(double amount, TimePoint now)
 {
     const double taken = take(amount, now);
--- a/src/liblimits/sharebucket.h
+++ b/src/liblimits/sharebucket.h
@@ -35,13 +35,17 @@
 
     /** Sets the share's part of rate and burst. A new share is empty; a smaller cap drops the tokens above it. */
     void setLimits(double rate, double cap, TimePoint now);
-    /** While suspended, the share accrues no tokens and gives none out. */
+    /** While suspended, the share accrues no tokens and gives none out. @p now may lie before the last call, which then counts. */
     void setSuspended(bool suspended, TimePoint now);
+    /** Fills the share up to its cap. Allowed only if no process has ever spent from it. */
+    void fill(TimePoint now);
 
     /** Tokens that can be taken, reserved or granted now. */
     double level(TimePoint now);
     /** Takes up to @p amount for immediate use. @return what was taken. */
     double take(double amount, TimePoint now);
+    /** Puts back tokens that were taken and will not be used, up to the cap. */
+    void putBack(double amount, TimePoint now);
     /** Reserves up to @p amount for a running answer. @return what was reserved. */
     double reserve(double amount, TimePoint now);
     /** Reserved tokens were used. */
--- a/src/libplatform/tableformat.h
+++ b/src/libplatform/tableformat.h
@@ -7,7 +7,9 @@
 #include "httpclient.h"
 #include "tableservice.h"
 
+#include <chrono>
 #include <concepts>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,8 @@
     std::uint64_t version = 0;
     /** The table has more rows after the last one of this page. */
     bool hasMore = false;
+    /** The service's steady clock when it took the snapshot, if it states it. */
+    std::optional<std::chrono::milliseconds> serviceTime;
 };
 
 /** The changes of a table after a given version. */
@@ -61,6 +65,8 @@
     std::vector<Change> changes;
     /** The version after which the next call for changes continues. */
     std::uint64_t version = 0;
+    /** The service's steady clock when it answered, if it states it. All changes until then are included. */
+    std::optional<std::chrono::milliseconds> serviceTime;
 };
 
 /** A format of a service that has several tables and reports changes. */
--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -24,12 +24,17 @@
             missing.push_back(id);
         }
     }
-    // So many endpoints don't stop between two reads: their entries have expired, as during a store outage that this process did not see.
-    const bool haveExpired = missing.size() > 1 && missing.size() * 2 >= entries_.size();
+    onEntriesMissing(missing, now);
+}
+
+void EndpointDirectory::onEntriesMissing(const std::vector<std::string> &ids, TimePoint now)
+{
+    // So many endpoints don't stop at once: their entries have expired, as during a store outage that this process did not see.
+    const bool haveExpired = ids.size() > 1 && ids.size() * 2 >= entries_.size();
     if (haveExpired && !storeRecoveredAt_) {
         storeRecoveredAt_ = now;
     }
-    for (const auto &id : missing) {
+    for (const auto &id : ids) {
         onEntryMissing(id, now);
     }
 }
--- a/src/libserving/endpointdirectory.h
+++ b/src/libserving/endpointdirectory.h
@@ -28,7 +28,8 @@
     /** Applies a full read of the store: @p records are all entries that it holds. */
     void replaceAll(const std::vector<EndpointRecord> &records, TimePoint now);
     void onRegistered(const EndpointRecord &record);
-    void onEntryMissing(const std::string &id, TimePoint now);
+    /** Applies the disappearance of entries that were found missing at the same time. */
+    void onEntriesMissing(const std::vector<std::string> &ids, TimePoint now);
     /** Excludes the engine from new requests until it has changed to @p stage, at most until @p until. */
     void onStageChangeAnnounced(const std::string &id, EngineStage stage, TimePoint until);
     void onStoreLost();
@@ -55,6 +56,7 @@
         TimePoint pendingUntil{};
     };
 
+    void onEntryMissing(const std::string &id, TimePoint now);
     void remove(std::map<std::string, Entry>::iterator entry);
 
     EndpointDirectoryOptions options_;
--- a/src/libserving/gatewaystatus.cpp
+++ b/src/libserving/gatewaystatus.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Chestnutcove {
 
@@ -31,7 +32,8 @@
     }
     return nlohmann::json{{"incarnation", incarnation},
                           {"beat", heartbeat},
-                          {"demand", demand},
+                          {"address", address},
+                          {"leaving", isLeaving},
                           {"work", std::move(services)},
                           {"usageStoredThrough", usageStoredThrough},
                           {"divisionSeen", divisionSeen}}
@@ -45,7 +47,8 @@
         GatewayStatus status;
         json.at("incarnation").get_to(status.incarnation);
         json.at("beat").get_to(status.heartbeat);
-        json.at("demand").get_to(status.demand);
+        json.at("address").get_to(status.address);
+        json.at("leaving").get_to(status.isLeaving);
         json.at("usageStoredThrough").get_to(status.usageStoredThrough);
         json.at("divisionSeen").get_to(status.divisionSeen);
         for (const auto &[service, each] : json.at("work").items()) {
@@ -63,8 +66,14 @@
 {
 }
 
+void GatewayLiveness::setTimeout(Duration timeout)
+{
+    timeout_ = timeout;
+}
+
 void GatewayLiveness::update(const std::map<std::string, GatewayStatus> &statuses, TimePoint now)
 {
+    const Duration sinceUpdate = now - std::exchange(updatedAt_, now);
     std::erase_if(observations_, [&statuses](const auto &item) { return !statuses.contains(item.first); });
     for (const auto &[vm, status] : statuses) {
         const auto it = observations_.find(vm);
@@ -72,6 +81,8 @@
             || it->second.status.heartbeat != status.heartbeat;
         if (changed) {
             observations_[vm] = Observation{status, now};
+        } else if (sinceUpdate >= timeout_ / 2) {
+            it->second.changedAt = std::min(it->second.changedAt + sinceUpdate, now);
         }
     }
 }
@@ -99,7 +110,6 @@
         status = observation.status;
         status.isUnresponsive = unchangedFor >= timeout_;
         if (status.isUnresponsive) {
-            status.demand.clear();
             status.work.clear();
         }
     }
--- a/src/libserving/gatewaystatus.h
+++ b/src/libserving/gatewaystatus.h
@@ -1,11 +1,11 @@
 /**
- * The status row that each gateway writes to the store as its heartbeat, with its recent demand and workload, and the detection of
+ * The status row that each gateway writes to the store as its heartbeat, with its recent workload, and the detection of
  * unresponsive gateways from these rows.
  */
 #pragma once
 
-#include "quotashares.h"
 #include "stageplanner.h"
+#include "timepoint.h"
 
 #include <absl/status/statusor.h>
 
@@ -20,7 +20,10 @@
     std::uint64_t incarnation = 0;
     /** Incremented with each write of the row by one run of the process. */
     std::uint64_t heartbeat = 0;
-    CustomerDemand demand;
+    /** "IP:port" at which other gateways ask this one for units of quotas; empty while it doesn't listen. */
+    std::string address;
+    /** The process is stopping and holds no shares of quotas any more. */
+    bool isLeaving = false;
     /** By service. */
     std::map<std::string, EngineWork> work;
     /** The last usage window of which all figures are stored. */
@@ -43,11 +46,14 @@
      * @param retention time without a change after which it is no longer expected to return.
      */
     GatewayLiveness(Duration timeout, Duration retention);
+    /** Gateways write their rows at intervals that depend on their number. */
+    void setTimeout(Duration timeout);
 
+    /** Takes over the rows that were read. Time in which no rows were read doesn't count as time without a change. */
     void update(const std::map<std::string, GatewayStatus> &statuses, TimePoint now);
     /** The statuses of live gateways, by VM. */
     std::map<std::string, GatewayStatus> liveGateways(TimePoint now) const;
-    /** The statuses of gateways that are live or may return, by VM; those of unresponsive gateways have no demand and no work. */
+    /** The statuses of gateways that are live or may return, by VM; those of unresponsive gateways have no work. */
     std::map<std::string, GatewayStatus> expectedGateways(TimePoint now) const;
     /** Whether all gateways have stored their usage of a window, leaving out gateways whose row has not changed for @p timeout. */
     bool haveAllStoredUsage(std::uint64_t window, Duration timeout, TimePoint now) const;
@@ -61,6 +67,7 @@
 
     Duration timeout_;
     Duration retention_;
+    TimePoint updatedAt_{};
     std::map<std::string, Observation> observations_;
 };
 
--- /dev/null
+++ b/src/libserving/quotacollector.h
@@ -0,0 +1,167 @@
+/**
+ * Collects the units that a request takes from its customer's limit. It asks the holders of the limit's shares one after the other, until
+ * one of them grants the units; a request that is larger than a share can be gets its units in several lots. Units are asked for only when
+ * a request needs them, so a grant is never spent on a request that arrived after it.
+ *
+ * A holder that does not answer in time is left out until it answers a probe. If all holders of a limit are silent, each request asks one
+ * of them all the same, since it may be this process's own connection that was slow.
+ */
+#pragma once
+
+#include "timepoint.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Chestnutcove {
+
+/** Units that a share holder granted. */
+struct QuotaLot
+{
+    std::string holder;
+    /** Number of the ask that the holder granted. */
+    std::uint64_t number = 0;
+    double units = 0;
+};
+
+/** Asks a holder for all of the units or none. */
+struct QuotaAsk
+{
+    std::string holder;
+    /** Identifies the ask among all asks of this process. */
+    std::uint64_t number = 0;
+    std::string customer;
+    /** 0 for a probe. */
+    double units = 0;
+};
+
+struct QuotaAnswer
+{
+    /** Whether the holder may spend a share of this limit; if not, it can't tell whether the limit is used up. */
+    bool isHolder = false;
+    bool granted = false;
+    /** For a refusal: time until the holder's share contains the units. */
+    Duration wait{};
+};
+
+struct QuotaVerdict
+{
+    enum class Result {
+        Admitted,
+        /** The limit is used up. */
+        RateLimited,
+        /** No holder of the limit could be asked. */
+        NoHolder,
+    };
+
+    std::uint64_t request = 0;
+    Result result = Result::Admitted;
+    /** For RateLimited: time after which to retry. */
+    Duration wait{};
+    /** For Admitted: what the request took. */
+    std::vector<QuotaLot> lots;
+};
+
+/** A lot that is not spent and goes back to its holder. */
+struct QuotaReturn
+{
+    std::string customer;
+    QuotaLot lot;
+};
+
+/** What the caller of QuotaCollector::poll() has to do. */
+struct CollectorActions
+{
+    std::vector<QuotaAsk> asks;
+    std::vector<QuotaReturn> returns;
+    std::vector<QuotaVerdict> verdicts;
+    /** Holders that left a probe unanswered; the connection to them may be dead. */
+    std::vector<std::string> silentHolders;
+};
+
+struct QuotaCollectorOptions
+{
+    Duration answerTimeout = std::chrono::milliseconds(120);
+    /** Time between two probes of a holder that did not answer. */
+    Duration probeInterval = std::chrono::milliseconds(500);
+    /** Grants that arrive later than this after they were asked for are not returned, since their holder no longer accepts them. */
+    Duration grantLifetime = std::chrono::milliseconds(300);
+};
+
+struct CollectionRequest
+{
+    std::uint64_t id = 0;
+    std::string customer;
+    double units = 0;
+    /** The most units to ask one holder for. */
+    double maxLot = 0;
+    /** In the order in which to ask them. */
+    std::vector<std::string> holders;
+};
+
+class QuotaCollector
+{
+public:
+    explicit QuotaCollector(QuotaCollectorOptions options);
+
+    void start(CollectionRequest request);
+    /** The request is no longer wanted; what was granted for it goes back. */
+    void cancel(std::uint64_t id);
+    /** The answer to the ask of that number, which may come late or more than once. */
+    void onAnswer(std::uint64_t number, const QuotaAnswer &answer, TimePoint now);
+    /** To be called after each of the functions above, and at short intervals while isBusy(). */
+    CollectorActions poll(TimePoint now);
+
+    /** Whether an answer or a probe is outstanding. */
+    bool isBusy() const;
+    bool isSuspect(const std::string &holder) const;
+    /** Forgets what is known of holders other than these. */
+    void retainHolders(const std::vector<std::string> &holders);
+
+private:
+    struct Collection
+    {
+        CollectionRequest request;
+        /** Index of the holder to ask next. */
+        std::size_t nextHolder = 0;
+        double missing = 0;
+        std::vector<QuotaLot> lots;
+        /** The shortest time that a holder named. */
+        std::optional<Duration> wait;
+        bool isWaiting = false;
+        /** A holder that counts as silent was asked, since there was no other. */
+        bool hasAskedSuspect = false;
+    };
+    /** An ask that was sent. It is kept for some time after its timeout, for a grant that comes late. */
+    struct SentAsk
+    {
+        QuotaAsk ask;
+        std::uint64_t request = 0;
+        TimePoint sentAt;
+        bool isAbandoned = false;
+    };
+    struct Suspect
+    {
+        TimePoint nextProbeAt;
+    };
+
+    void expireAsks(TimePoint now, CollectorActions &actions);
+    void probeSuspects(TimePoint now, CollectorActions &actions);
+    void askNextHolder(Collection &collection, TimePoint now, CollectorActions &actions);
+    void finish(Collection &collection, QuotaVerdict::Result result, CollectorActions &actions);
+    void returnLots(Collection &collection);
+
+    QuotaCollectorOptions options_;
+    std::map<std::uint64_t, Collection> collections_;
+    /** By number. */
+    std::map<std::uint64_t, SentAsk> asks_;
+    std::map<std::string, Suspect> suspects_;
+    std::deque<QuotaReturn> pendingReturns_;
+    std::uint64_t lastNumber_ = 0;
+};
+
+}
--- a/src/libserving/quotadivider.cpp
+++ b/src/libserving/quotadivider.cpp
@@ -4,6 +4,21 @@
 
 namespace Chestnutcove {
 
+namespace {
+
+std::vector<GatewayAddress> possibleHolders(const std::map<std::string, GatewayStatus> &gateways)
+{
+    std::vector<GatewayAddress> result;
+    for (const auto &[vm, status] : gateways) {
+        if (!status.isUnresponsive && !status.isLeaving && !status.address.empty()) {
+            result.push_back({vm, status.address});
+        }
+    }
+    return result;
+}
+
+}
+
 QuotaDivider::QuotaDivider(QuotaDividerOptions options)
     : options_(options)
 {
@@ -40,23 +55,11 @@
         settled.settled = true;
         return settled;
     }
-    std::map<std::string, CustomerDemand> demand;
-    std::set<std::string> unresponsive;
-    for (const auto &[vm, status] : gateways) {
-        demand[vm] = status.demand;
-        if (status.isUnresponsive) {
-            unresponsive.insert(vm);
-        }
-    }
-    if (demand.empty()) {
-        return std::nullopt;
-    }
-    QuotaDivision wanted = current_.successor(divideQuotas(demand, unresponsive));
-    const bool gatewaysChanged = wanted.vms != current_.vms;
-    const bool intervalElapsed = now - firstReadAt_ >= options_.minInterval;
-    if (!isOutdated(current_, wanted) || (!gatewaysChanged && !intervalElapsed)) {
+    const auto holders = possibleHolders(gateways);
+    if (holders.empty() || holders == current_.gateways) {
         return std::nullopt;
     }
+    QuotaDivision wanted = current_.successor(holders);
     // Before the first division no gateway spends anything, so there is no previous share to wait for.
     wanted.settled = isFirst;
     return wanted;
--- a/src/libserving/quotadivider.h
+++ b/src/libserving/quotadivider.h
@@ -1,10 +1,11 @@
 /**
- * Decides on behalf of the lease holder when to store a new division of the quotas and when the stored division is settled. A gateway that
- * has stopped or is unresponsive keeps a small share for a while, so that it can accept requests as soon as it is back.
+ * Decides on behalf of the lease holder when to store a new division of the quotas and when the stored division is settled. The gateways
+ * that are live and not stopping hold the shares; a change among them causes a new division as soon as the stored one is settled.
  */
 #pragma once
 
 #include "gatewaystatus.h"
+#include "quotadivision.h"
 #include "quotashares.h"
 #include "timepoint.h"
 
@@ -16,8 +17,6 @@
 
 struct QuotaDividerOptions
 {
-    /** Minimum time between two divisions for a change of demand; a gateway that joins or leaves causes a new division at once. */
-    Duration minInterval = std::chrono::seconds(3);
     /** Time after a division was first read at which it counts as settled, even if some gateways have not reported it. */
     Duration settleTime = QuotaShareOptions{}.settleTime;
 };
@@ -28,7 +27,7 @@
     explicit QuotaDivider(QuotaDividerOptions options);
 
     void onDivisionRead(const QuotaDivision &division, TimePoint now);
-    /** The division that should replace the stored one, if any. */
+    /** The division that should replace the stored one, if any. @param gateways those that are live or expected to return, by VM. */
     std::optional<QuotaDivision> nextDivision(const std::map<std::string, GatewayStatus> &gateways, TimePoint now) const;
     /** The division that was last read; its number is 0 if none is stored. */
     const QuotaDivision &current() const;
--- /dev/null
+++ b/src/libserving/quotadivision.h
@@ -0,0 +1,58 @@
+/**
+ * The stored assignment of the customers' limits to gateways. Each customer's limit is held in equal shares by a few gateways, the share
+ * holders, which rendezvous hashing chooses from the gateways of the division. All gateways that have read a division therefore know the
+ * holders of each customer, and the row's size doesn't depend on the number of customers.
+ *
+ * A share moves to another gateway only when the division is settled, that is, when no gateway applies the previous division any more. The
+ * shares in use therefore never add up to more than the limit.
+ */
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Chestnutcove {
+
+/** Number of gateways that share a customer's limit, where there are as many. */
+inline constexpr std::size_t MaxQuotaHolders = 4;
+
+/** A gateway and the "IP:port" at which the others reach it. */
+struct GatewayAddress
+{
+    std::string vm;
+    std::string address;
+
+    bool operator==(const GatewayAddress &) const = default;
+};
+
+struct QuotaDivision
+{
+    /** Incremented with each division that is stored; 0 for none. */
+    std::uint64_t number = 0;
+    /** Every gateway is known to have read this division or to have stopped spending from the previous one. */
+    bool settled = false;
+    /** The gateways that hold shares, ordered by VM. */
+    std::vector<GatewayAddress> gateways;
+    /** VMs of the previous division, which was settled and which some gateways may still apply. Unused once this division is settled. */
+    std::vector<std::string> previousVms;
+
+    std::vector<std::string> vms() const;
+    /** The VMs that hold shares of the customer's limit. */
+    std::vector<std::string> holdersOf(const std::string &customer) const;
+    /** Number of holders of each customer. */
+    std::size_t holderCount() const;
+    /** A VM's fraction of the customer's limit in this division, ignoring the previous one. */
+    double fractionOf(const std::string &customer, const std::string &vm) const;
+    /** The fraction that a VM may spend while the division is not settled: the smaller one of this and the previous division. */
+    double unsettledFractionOf(const std::string &customer, const std::string &vm) const;
+    /** The division among @p successors that follows this one: numbered, not settled, and with this division as the previous one. */
+    QuotaDivision successor(std::vector<GatewayAddress> successors) const;
+    std::string toText() const;
+    static absl::StatusOr<QuotaDivision> fromText(const std::string &text);
+};
+
+}
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -1,270 +1,213 @@
 #include "quotashares.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
-#include <cmath>
-#include <set>
 #include <utility>
 
 namespace Chestnutcove {
 
 namespace {
 
-/** Fraction of a limit that is divided evenly, regardless of demand. */
-constexpr double EvenFraction = 0.5;
-/** Weight of an unresponsive VM in the even part, where a responsive VM has weight 1. */
-constexpr double UnresponsiveWeight = 0.25;
-/** Time constant of the demand average. */
-constexpr Duration DemandAveragingTime = std::chrono::seconds(4);
-/** A change of a VM's fraction by at most this does not cause a new division. */
-constexpr double MinFractionChange = 0.08;
+/** A request counts as recent for at least this long when the largest one is determined. */
+constexpr std::chrono::seconds LargestRequestPeriod{5};
+/** Units for the largest recent request are kept in a share, but at most this fraction of its capacity. */
+constexpr double MaxReserveFraction = 0.5;
 
-double fractionIn(const std::vector<std::string> &vms,
-                  const QuotaDivision::Fractions &fractions,
-                  const std::string &customer,
-                  const std::string &vm)
-{
-    if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
-        return 0;
-    }
-    const auto it = fractions.find(customer);
-    if (it == fractions.end()) {
-        return 1.0 / static_cast<double>(vms.size());
-    }
-    const auto fraction = it->second.find(vm);
-    return fraction == it->second.end() ? 0 : fraction->second;
 }
 
+QuotaShares::Share::Share(Duration grantLifetime)
+    : bucket(grantLifetime)
+    , largestRequest(LargestRequestPeriod)
+{
 }
 
-double QuotaDivision::fractionOf(const std::string &customer, const std::string &vm) const
+QuotaShares::QuotaShares(std::string vm, QuotaShareOptions options)
+    : vm_(std::move(vm))
+    , options_(options)
+    , freshness_(options.maxAge)
 {
-    return fractionIn(vms, fractions, customer, vm);
 }
 
-double QuotaDivision::unsettledFractionOf(const std::string &customer, const std::string &vm) const
+void QuotaShares::onDivisionRead(const QuotaDivision &division, TimePoint readAt, TimePoint now)
 {
-    return std::min(fractionOf(customer, vm), fractionIn(previousVms, previousFractions, customer, vm));
+    suspendIfStale(now);
+    freshness_.recordRead(readAt);
+    resumeIfFresh(now);
+    const bool isFirst = !accruingSince_;
+    const bool isNew = isFirst || division.number != current_.number;
+    current_ = division;
+    if (isNew) {
+        firstReadAt_ = now;
+        isFirstDivision_ = isFirst && std::exchange(storeHadNoDivision_, false);
+    }
+    if (isNew || isSettled(now) != accruesSettled_) {
+        restartAccrual(now);
+    }
 }
 
-QuotaDivision QuotaDivision::successor(QuotaDivision wanted) const
+void QuotaShares::onDivisionConfirmed(TimePoint readAt, TimePoint now)
 {
-    wanted.number = number + 1;
-    wanted.settled = false;
-    wanted.previousVms = vms;
-    wanted.previousFractions = fractions;
-    return wanted;
+    suspendIfStale(now);
+    freshness_.recordRead(readAt);
+    resumeIfFresh(now);
 }
 
-std::string QuotaDivision::toText() const
+void QuotaShares::onNoDivisionStored()
 {
-    return nlohmann::json{{"number", number},
-                          {"settled", settled},
-                          {"vms", vms},
-                          {"fractions", fractions},
-                          {"vmsBefore", previousVms},
-                          {"fractionsBefore", previousFractions}}
-        .dump();
+    storeHadNoDivision_ = !accruingSince_;
 }
 
-absl::StatusOr<QuotaDivision> QuotaDivision::fromText(const std::string &text)
+bool QuotaShares::isUsable(TimePoint now) const
 {
-    try {
-        const auto json = nlohmann::json::parse(text);
-        QuotaDivision division;
-        json.at("number").get_to(division.number);
-        json.at("settled").get_to(division.settled);
-        json.at("vms").get_to(division.vms);
-        json.at("fractions").get_to(division.fractions);
-        json.at("vmsBefore").get_to(division.previousVms);
-        json.at("fractionsBefore").get_to(division.previousFractions);
-        return division;
-    } catch (const nlohmann::json::exception &error) {
-        return absl::DataLossError(std::string("unreadable division of quotas: ") + error.what());
-    }
+    return accruingSince_ && freshness_.isFresh(now);
 }
 
-QuotaDivision divideQuotas(const std::map<std::string, CustomerDemand> &demandOfVm, const std::set<std::string> &unresponsive)
+void QuotaShares::suspendIfStale(TimePoint now)
 {
-    QuotaDivision division;
-    CustomerDemand total;
-    const auto weightOf = [&unresponsive](const std::string &vm) { return unresponsive.contains(vm) ? UnresponsiveWeight : 1.0; };
-    double weights = 0;
-    for (const auto &[vm, demand] : demandOfVm) {
-        division.vms.push_back(vm);
-        weights += weightOf(vm);
-        for (const auto &[customer, rate] : demand) {
-            total[customer] += rate;
-        }
+    if (isSuspended_ || freshness_.isFresh(now)) {
+        return;
     }
-    for (const auto &[customer, sum] : total) {
-        if (sum <= 0) {
-            continue;
-        }
-        for (const auto &[vm, demand] : demandOfVm) {
-            const auto it = demand.find(customer);
-            const double own = it == demand.end() ? 0 : it->second;
-            division.fractions[customer][vm] = EvenFraction * weightOf(vm) / weights + (1 - EvenFraction) * own / sum;
-        }
+    isSuspended_ = true;
+    for (auto &[customer, share] : shares_) {
+        share.bucket.setSuspended(true, std::min(freshness_.freshUntil(), now));
     }
-    return division;
 }
 
-bool isOutdated(const QuotaDivision &current, const QuotaDivision &wanted)
+void QuotaShares::resumeIfFresh(TimePoint now)
 {
-    if (current.vms != wanted.vms) {
-        return true;
+    if (!isSuspended_ || !freshness_.isFresh(now)) {
+        return;
     }
-    for (const auto &[customer, vmFractions] : wanted.fractions) {
-        for (const auto &[vm, wantedFraction] : vmFractions) {
-            if (std::abs(wantedFraction - current.fractionOf(customer, vm)) > MinFractionChange) {
-                return true;
-            }
-        }
+    isSuspended_ = false;
+    for (auto &[customer, share] : shares_) {
+        share.bucket.setSuspended(false, now);
     }
-    return false;
-}
-
-QuotaShares::QuotaShares(std::string vm, QuotaShareOptions options)
-    : vm_(std::move(vm))
-    , options_(options)
-    , freshness_(options.maxAge)
-{
 }
 
-void QuotaShares::onDivisionRead(const QuotaDivision &division, TimePoint startedAt, TimePoint now)
+bool QuotaShares::isSettled(TimePoint now) const
 {
-    freshness_.recordRead(startedAt);
-    const bool isFirst = !accruingSince_;
-    const bool isNew = isFirst || division.number != current_.number;
-    current_ = division;
-    if (isNew) {
-        firstReadAt_ = now;
-        isFirstDivision_ = isFirst && std::exchange(storeHadNoDivision_, false);
-    }
-    if (isNew || isSettled(now) != accruesSettled_) {
-        restartAccrual(now);
-    }
+    return current_.settled || now - firstReadAt_ >= options_.settleTime;
 }
 
 void QuotaShares::restartAccrual(TimePoint now)
 {
-    // Units that accrued under the former share are kept; from now on they accrue under the new one.
-    for (auto &[name, bucket] : buckets_) {
-        refill(bucket, now);
-        bucket.rate = 0;
-    }
     accruingSince_ = now;
     accruesSettled_ = isSettled(now);
+    for (auto &[customer, share] : shares_) {
+        share.fraction = currentFraction(customer);
+        applyLimits(share, now);
+    }
 }
 
-bool QuotaShares::isSettled(TimePoint now) const
+double QuotaShares::currentFraction(const std::string &customer) const
 {
-    return current_.settled || now - firstReadAt_ >= options_.settleTime;
+    return accruesSettled_ ? current_.fractionOf(customer, vm_) : current_.unsettledFractionOf(customer, vm_);
 }
 
-void QuotaShares::onNoDivisionStored()
+double QuotaShares::wholeCapacity(const CustomerQuota &customer) const
 {
-    storeHadNoDivision_ = !accruingSince_;
+    return customer.burst + options_.overage * (customer.rate * toSeconds(options_.window) + customer.burst) + options_.allowance;
 }
 
-bool QuotaShares::isUsable(TimePoint now) const
+double QuotaShares::shareCapacity(const CustomerQuota &customer) const
 {
-    return accruingSince_ && freshness_.isFresh(now);
+    return wholeCapacity(customer) / static_cast<double>(std::max<std::size_t>(current_.holderCount(), 1));
 }
 
-double QuotaShares::fractionOf(const std::string &customer, TimePoint now) const
+void QuotaShares::applyLimits(Share &share, TimePoint now)
 {
-    if (!isUsable(now)) {
-        return 0;
-    }
-    return isSettled(now) ? current_.fractionOf(customer, vm_) : current_.unsettledFractionOf(customer, vm_);
+    share.bucket.setLimits(share.rate * share.fraction, share.capacity * share.fraction, now);
 }
 
-void QuotaShares::refill(Bucket &bucket, TimePoint now)
+QuotaShares::Share &QuotaShares::shareOf(const CustomerQuota &customer, TimePoint now)
 {
-    bucket.level = std::min(bucket.level + bucket.rate * toSeconds(std::max(now - bucket.filledAt, Duration::zero())), bucket.capacity);
-    bucket.filledAt = std::max(bucket.filledAt, now);
-}
-
-QuotaShares::Bucket &QuotaShares::refilledBucket(const CustomerQuota &customer, double fraction, TimePoint now)
-{
-    const double extraUnits = options_.overage * (customer.rate * toSeconds(options_.window) + customer.burst) + options_.allowance;
-    const auto [it, isNew] = buckets_.try_emplace(customer.name);
-    Bucket &bucket = it->second;
+    suspendIfStale(now);
+    if (accruingSince_ && isSettled(now) != accruesSettled_) {
+        restartAccrual(now);
+    }
+    const double capacity = wholeCapacity(customer);
+    const auto [it, isNew] = shares_.try_emplace(customer.name, options_.grantLifetime);
+    Share &share = it->second;
     if (isNew) {
-        // A bucket starts empty, since the units spent by a former run of this process are unknown.
-        bucket.filledAt = accruingSince_.value_or(now);
+        // A share starts empty, since the units spent by a former run of this process are unknown.
+        share.fraction = currentFraction(customer.name);
+    }
+    if (isNew || share.rate != customer.rate || share.capacity != capacity) {
+        share.rate = customer.rate;
+        share.capacity = capacity;
+        applyLimits(share, isNew ? accruingSince_.value_or(now) : now);
     }
-    bucket.rate = customer.rate * fraction;
-    bucket.capacity = (customer.burst + extraUnits) * fraction;
     if (isNew && isFirstDivision_) {
-        bucket.level = bucket.capacity;
+        share.bucket.fill(now);
     }
-    refill(bucket, now);
-    return bucket;
+    if (isNew && isSuspended_) {
+        share.bucket.setSuspended(true, std::min(freshness_.freshUntil(), now));
+    }
+    return share;
 }
 
-QuotaDecision QuotaShares::admit(const CustomerQuota &customer, double units, TimePoint now)
+ShareDecision QuotaShares::decide(Share &share, double units, TimePoint now)
 {
-    recordDemand(customer.name, units);
-    if (customer.rate <= 0) {
-        return {true, {}};
-    }
-    if (accruingSince_ && isSettled(now) != accruesSettled_) {
-        restartAccrual(now);
-    }
-    const double fraction = fractionOf(customer.name, now);
-    Bucket &bucket = refilledBucket(customer, fraction, now);
-    QuotaDecision decision{bucket.level >= units, {}, fraction, bucket.level};
-    if (decision.admitted) {
-        bucket.level -= units;
-    } else {
-        decision.wait = reserveUnits(bucket, units, now);
+    share.largestRequest.record(units, now);
+    // All requests need as much as the largest one, so that small ones can't keep the level too low for it.
+    const double reserve = std::min(share.largestRequest.value(now), share.bucket.cap() * MaxReserveFraction);
+    const double needed = std::max(units, reserve);
+    ShareDecision decision;
+    decision.isHolder = isUsable(now) && share.fraction > 0;
+    decision.fraction = share.fraction;
+    decision.level = share.bucket.level(now);
+    decision.granted = decision.isHolder && decision.level >= needed;
+    if (decision.isHolder && !decision.granted) {
+        decision.wait = reserveUnits(share, needed, now);
     }
     return decision;
 }
 
-Duration QuotaShares::reserveUnits(Bucket &bucket, double units, TimePoint now) const
+Duration QuotaShares::reserveUnits(Share &share, double units, TimePoint now) const
 {
-    if (bucket.rate <= 0) {
+    const double rate = share.bucket.rate();
+    if (rate <= 0) {
         return options_.settleTime;
     }
-    const TimePoint accruedAt = now + fromSeconds((units - bucket.level) / bucket.rate);
-    const TimePoint start = std::max(accruedAt, std::min(bucket.reservedUntil, now + options_.window));
-    bucket.reservedUntil = start + fromSeconds(units / bucket.rate);
+    const TimePoint accruedAt = now + fromSeconds((units - share.bucket.level(now)) / rate);
+    const TimePoint start = std::max(accruedAt, std::min(share.reservedUntil, now + options_.window));
+    share.reservedUntil = start + fromSeconds(units / rate);
     return start - now;
 }
 
-void QuotaShares::refund(const std::string &customer, double units)
+ShareDecision QuotaShares::take(const CustomerQuota &customer, double units, TimePoint now)
 {
-    const auto it = buckets_.find(customer);
-    if (it != buckets_.end()) {
-        it->second.level = std::min(it->second.level + units, it->second.capacity);
+    Share &share = shareOf(customer, now);
+    const ShareDecision decision = decide(share, units, now);
+    if (decision.granted) {
+        share.bucket.take(units, now);
     }
+    return decision;
 }
 
-void QuotaShares::recordDemand(const std::string &customer, double units)
+ShareDecision QuotaShares::grant(const CustomerQuota &customer, const GrantId &id, double units, TimePoint now)
 {
-    requestedUnits_[customer] += units;
+    Share &share = shareOf(customer, now);
+    ShareDecision decision = decide(share, units, now);
+    if (decision.granted && units > 0) {
+        decision.granted = share.bucket.grant(id, units, now) > 0;
+    }
+    return decision;
 }
 
-CustomerDemand QuotaShares::updateDemand(TimePoint now)
+void QuotaShares::refund(const std::string &customer, double units, TimePoint now)
 {
-    const double seconds = toSeconds(now - std::exchange(demandSince_, now));
-    const auto requested = std::exchange(requestedUnits_, {});
-    if (seconds <= 0) {
-        return smoothedDemand_;
+    const auto it = shares_.find(customer);
+    if (it != shares_.end()) {
+        it->second.bucket.putBack(units, now);
     }
-    const double weight = 1 - std::exp(-seconds / toSeconds(DemandAveragingTime));
-    for (auto &[customer, rate] : smoothedDemand_) {
-        rate *= 1 - weight;
-    }
-    for (const auto &[customer, units] : requested) {
-        smoothedDemand_[customer] += weight * units / seconds;
+}
+
+void QuotaShares::onGrantReturned(const std::string &customer, const GrantId &id, double units, TimePoint now)
+{
+    const auto it = shares_.find(customer);
+    if (it != shares_.end()) {
+        it->second.bucket.returnGrant(id, units, now);
     }
-    return smoothedDemand_;
 }
 
 }
--- a/src/libserving/readfreshness.h
+++ b/src/libserving/readfreshness.h
@@ -19,6 +19,8 @@
     /** Records a read that began at @p startedAt, once its result is in force. */
     void recordRead(TimePoint startedAt);
     bool isFresh(TimePoint now) const;
+    /** When the last read becomes too old; a default TimePoint before the first one. */
+    TimePoint freshUntil() const;
     /** Time since the start of the last read; nothing before the first one. */
     std::optional<Duration> age(TimePoint now) const;
 
@@ -44,6 +46,11 @@
     return lastReadAt_ && now - *lastReadAt_ < maxAge_;
 }
 
+inline TimePoint ReadFreshness::freshUntil() const
+{
+    return lastReadAt_ ? *lastReadAt_ + maxAge_ : TimePoint{};
+}
+
 inline std::optional<Duration> ReadFreshness::age(TimePoint now) const
 {
     return lastReadAt_ ? std::optional(now - *lastReadAt_) : std::nullopt;
--- a/src/libtransport/link.cpp
+++ b/src/libtransport/link.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-constexpr int MaxQueuedMessages = 20000;
-constexpr int HeartbeatIntervalMs = 500;
-constexpr int HeartbeatTimeoutMs = 2000;
 constexpr int ReconnectDelayMs = 100;
 constexpr int MaxReconnectDelayMs = 1000;
 constexpr std::int64_t MaxMessageBytes = 64 << 20;
@@ -24,13 +21,13 @@
 constexpr const char *ZapDomain = "chestnutcove";
 
 /** Sets the socket options that servers and clients share. */
-void setCommonOptions(zmq::socket_t &socket)
+void setCommonOptions(zmq::socket_t &socket, const LinkOptions &options)
 {
     socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::sndhwm, MaxQueuedMessages);
-    socket.set(zmq::sockopt::rcvhwm, MaxQueuedMessages);
-    socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatIntervalMs);
-    socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMs);
+    socket.set(zmq::sockopt::sndhwm, options.maxQueuedMessages);
+    socket.set(zmq::sockopt::rcvhwm, options.maxQueuedMessages);
+    socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(options.heartbeatInterval.count()));
+    socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(options.heartbeatTimeout.count()));
     socket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
 }
 
@@ -225,12 +222,12 @@
 class LinkServer::Impl
 {
 public:
-    Impl(LinkContext &context, Handler handler)
+    Impl(LinkContext &context, Handler handler, const LinkOptions &options)
         : context_(context.impl())
         , handler_(std::move(handler))
         , socket_(context_.zmq(), zmq::socket_type::router)
     {
-        setCommonOptions(socket_);
+        setCommonOptions(socket_, options);
         socket_.set(zmq::sockopt::router_mandatory, true);
         socket_.set(zmq::sockopt::curve_server, true);
         socket_.set(zmq::sockopt::curve_secretkey, context_.keys().secretKey);
@@ -304,8 +301,8 @@
     std::uint16_t port_ = 0;
 };
 
-LinkServer::LinkServer(LinkContext &context, Handler handler)
-    : impl_(std::make_unique<Impl>(context, std::move(handler)))
+LinkServer::LinkServer(LinkContext &context, Handler handler, LinkOptions options)
+    : impl_(std::make_unique<Impl>(context, std::move(handler), options))
 {
 }
 
@@ -329,11 +326,12 @@
 class LinkClient::Impl
 {
 public:
-    Impl(LinkContext &context, std::string address, std::string serverKey, Handler handler)
+    Impl(LinkContext &context, std::string address, std::string serverKey, Handler handler, LinkOptions options)
         : context_(context.impl())
         , address_(std::move(address))
         , serverKey_(std::move(serverKey))
         , handler_(std::move(handler))
+        , options_(options)
     {
         openSocket();
     }
@@ -363,8 +361,8 @@
     void openSocket()
     {
         socket_ = std::make_unique<zmq::socket_t>(context_.zmq(), zmq::socket_type::dealer);
-        setCommonOptions(*socket_);
-        socket_->set(zmq::sockopt::immediate, true);
+        setCommonOptions(*socket_, options_);
+        socket_->set(zmq::sockopt::immediate, !options_.queuesUntilConnected);
         socket_->set(zmq::sockopt::reconnect_ivl, ReconnectDelayMs);
         socket_->set(zmq::sockopt::reconnect_ivl_max, MaxReconnectDelayMs);
         socket_->set(zmq::sockopt::curve_serverkey, serverKey_);
@@ -391,12 +389,13 @@
     std::string address_;
     std::string serverKey_;
     Handler handler_;
+    LinkOptions options_;
     std::unique_ptr<zmq::socket_t> socket_;
     std::shared_ptr<SocketWatcher> watcher_;
 };
 
-LinkClient::LinkClient(LinkContext &context, std::string address, std::string serverKey, Handler handler)
-    : impl_(std::make_unique<Impl>(context, std::move(address), std::move(serverKey), std::move(handler)))
+LinkClient::LinkClient(LinkContext &context, std::string address, std::string serverKey, Handler handler, LinkOptions options)
+    : impl_(std::make_unique<Impl>(context, std::move(address), std::move(serverKey), std::move(handler), options))
 {
 }
 
--- a/src/libtransport/link.h
+++ b/src/libtransport/link.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,6 +31,17 @@
 /** @return InvalidArgument unless @p key is the Z85 encoding of a CURVE key. */
 absl::Status checkLinkKey(const std::string &key);
 
+/** How links notice that a peer is gone, and what they do with messages while there is no connection. */
+struct LinkOptions
+{
+    /** Time between two heartbeats of a connection; zero for none. */
+    std::chrono::milliseconds heartbeatInterval{500};
+    std::chrono::milliseconds heartbeatTimeout{2000};
+    int maxQueuedMessages = 20000;
+    /** A client's messages wait for the connection; otherwise they are rejected while there is none. */
+    bool queuesUntilConnected = false;
+};
+
 /** The ZeroMQ context of the process with its ZAP authentication handler. There is exactly one per io_context, and it must outlive all
  * links created with it. */
 class LinkContext
@@ -55,7 +67,7 @@
     using PeerId = std::string;
     using Handler = std::function<void(const PeerId &, wire::Envelope)>;
 
-    LinkServer(LinkContext &context, Handler handler);
+    LinkServer(LinkContext &context, Handler handler, LinkOptions options = {});
     ~LinkServer();
     LinkServer(const LinkServer &) = delete;
     LinkServer &operator=(const LinkServer &) = delete;
@@ -78,7 +90,7 @@
     using Handler = std::function<void(wire::Envelope)>;
 
     /** @param address "host:port". @param serverKey the public key whose secret key the server must hold. */
-    LinkClient(LinkContext &context, std::string address, std::string serverKey, Handler handler);
+    LinkClient(LinkContext &context, std::string address, std::string serverKey, Handler handler, LinkOptions options = {});
     ~LinkClient();
     LinkClient(const LinkClient &) = delete;
     LinkClient &operator=(const LinkClient &) = delete;
--- a/tests/serving/quotadivider_test.cpp
+++ b/tests/serving/quotadivider_test.cpp
@@ -1,6 +1,5 @@
 /**
- * Tests of QuotaDivider: when a division is settled, and that gateways that were frozen, restarted one after the other or rejected by the
- * store have a share again soon after they return.
+ * Tests of QuotaDivider: which gateways hold shares, and when a division is settled.
  */
 #include "quotadivider.h"
 
@@ -19,10 +18,10 @@
 protected:
     using Gateways = std::map<std::string, GatewayStatus>;
 
-    static GatewayStatus status(double demand, std::uint64_t divisionSeen)
+    static GatewayStatus status(std::uint64_t divisionSeen)
     {
         GatewayStatus result;
-        result.demand["desk"] = demand;
+        result.address = "10.0.0.1:7000";
         result.divisionSeen = divisionSeen;
         return result;
     }
@@ -37,111 +36,83 @@
         return division.has_value();
     }
 
+    std::vector<std::string> holders() const
+    {
+        return divider_.current().vms();
+    }
+
     QuotaDivider divider_{QuotaDividerOptions{}};
     TimePoint now_{1000s};
 };
 
 TEST_F(QuotaDividerTest, NoDivisionStored_FirstDivision_IsSettledAtOnce)
 {
-    ASSERT_TRUE(storeNextDivision({{"vm-1", status(1, 0)}, {"vm-2", status(1, 0)}}));
+    ASSERT_TRUE(storeNextDivision({{"vm-1", status(0)}, {"vm-2", status(0)}}));
     EXPECT_TRUE(divider_.current().settled);
     EXPECT_EQ(1U, divider_.current().number);
+    EXPECT_EQ((std::vector<std::string>{"vm-1", "vm-2"}), holders());
 }
 
-TEST_F(QuotaDividerTest, NewDivision_ReportedByAllGateways_IsSettledAtOnce)
+TEST_F(QuotaDividerTest, NoGatewayListens_NextDivision_IsNone)
 {
-    storeNextDivision({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
-    now_ += 5s;
-    ASSERT_TRUE(storeNextDivision({{"vm-1", status(300, 1)}, {"vm-2", status(100, 1)}}));
-    ASSERT_FALSE(divider_.current().settled);
-    now_ += 1s;
-    EXPECT_FALSE(storeNextDivision({{"vm-1", status(300, 2)}, {"vm-2", status(100, 1)}}));
-    EXPECT_TRUE(storeNextDivision({{"vm-1", status(300, 2)}, {"vm-2", status(100, 2)}}));
-    EXPECT_TRUE(divider_.current().settled);
+    GatewayStatus starting;
+    EXPECT_FALSE(storeNextDivision({{"vm-1", starting}}));
+    EXPECT_FALSE(storeNextDivision({}));
 }
 
-TEST_F(QuotaDividerTest, NewDivision_OneGatewayCutOff_IsSettledAfterSettleTime)
+TEST_F(QuotaDividerTest, NothingChanged_NextDivision_IsNone)
 {
-    storeNextDivision({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
-    now_ += 5s;
-    storeNextDivision({{"vm-1", status(300, 1)}, {"vm-2", status(100, 1)}});
-    const Gateways gateways{{"vm-1", status(300, 2)}, {"vm-2", status(100, 1)}};
-    now_ += QuotaShareOptions{}.settleTime - 1ms;
+    const Gateways gateways{{"vm-1", status(1)}, {"vm-2", status(1)}};
+    ASSERT_TRUE(storeNextDivision(gateways));
+    now_ += 60s;
     EXPECT_FALSE(storeNextDivision(gateways));
-    now_ += 1ms;
-    EXPECT_TRUE(storeNextDivision(gateways));
-}
-
-TEST_F(QuotaDividerTest, GatewayJoins_DivisionIsRecent_DoesNotWaitForMinInterval)
-{
-    storeNextDivision({{"vm-1", status(100, 0)}});
-    now_ += 100ms;
-    ASSERT_TRUE(storeNextDivision({{"vm-1", status(100, 1)}, {"vm-2", status(0, 0)}}));
-    EXPECT_GT(divider_.current().fractionOf("desk", "vm-2"), 0.1);
 }
 
-TEST_F(QuotaDividerTest, GatewayWasFrozen_ItReturns_HasItsEvenShareAtOnce)
+TEST_F(QuotaDividerTest, NewDivision_ReportedByAllGateways_IsSettledAtOnce)
 {
-    const Gateways all{{"vm-1", status(100, 9)}, {"vm-2", status(100, 9)}};
-    storeNextDivision(all);
-    now_ += 6s;
-    storeNextDivision({{"vm-1", status(200, 9)}, {"vm-2", status(0, 9)}});
-    storeNextDivision({{"vm-1", status(200, 9)}, {"vm-2", status(0, 9)}});
-    ASSERT_TRUE(divider_.current().settled);
-    QuotaShares shares("vm-2", {});
-    shares.onDivisionRead(divider_.current(), now_, now_);
-    CustomerQuota customer;
-    customer.name = "desk";
-    customer.rate = 1000;
-    customer.burst = 1000;
+    storeNextDivision({{"vm-1", status(0)}, {"vm-2", status(0)}});
+    ASSERT_TRUE(storeNextDivision({{"vm-1", status(1)}, {"vm-2", status(1)}, {"vm-3", status(0)}}));
+    ASSERT_FALSE(divider_.current().settled);
     now_ += 1s;
-    EXPECT_TRUE(shares.admit(customer, 100, now_).admitted);
+    EXPECT_FALSE(storeNextDivision({{"vm-1", status(2)}, {"vm-2", status(1)}, {"vm-3", status(2)}}));
+    EXPECT_TRUE(storeNextDivision({{"vm-1", status(2)}, {"vm-2", status(2)}, {"vm-3", status(0)}}));
+    EXPECT_TRUE(divider_.current().settled);
 }
 
-TEST_F(QuotaDividerTest, SeveralGatewaysUnresponsive_Division_GivesMostToTheOthers)
+TEST_F(QuotaDividerTest, NewDivision_FormerHolderCutOff_IsSettledAfterSettleTime)
 {
-    Gateways gateways;
-    for (int i = 1; i <= 5; ++i) {
-        gateways["vm-" + std::to_string(i)] = status(100, 9);
-    }
-    storeNextDivision(gateways);
-    for (const char *vm : {"vm-1", "vm-2", "vm-3"}) {
-        gateways[vm].isUnresponsive = true;
-        gateways[vm].demand.clear();
-    }
-    now_ += 4s;
+    storeNextDivision({{"vm-1", status(0)}, {"vm-2", status(0)}});
+    GatewayStatus silent = status(1);
+    silent.isUnresponsive = true;
+    const Gateways gateways{{"vm-1", status(2)}, {"vm-2", silent}};
     ASSERT_TRUE(storeNextDivision(gateways));
-    EXPECT_GT(divider_.current().fractionOf("desk", "vm-4"), 0.4);
-    EXPECT_GT(divider_.current().fractionOf("desk", "vm-1"), 0.03);
+    EXPECT_EQ((std::vector<std::string>{"vm-1"}), holders());
+    now_ += QuotaShareOptions{}.settleTime - 1ms;
+    EXPECT_FALSE(storeNextDivision(gateways));
+    now_ += 1ms;
+    EXPECT_TRUE(storeNextDivision(gateways));
+    EXPECT_TRUE(divider_.current().settled);
 }
 
-TEST_F(QuotaDividerTest, GatewayHasStopped_LastStatusRead_DivisionIsSettled)
+TEST_F(QuotaDividerTest, GatewayStops_ItsLastStatus_GivesItsSharesAwayAndSettlesAtOnce)
 {
-    storeNextDivision({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
-    now_ += 5s;
-    const Gateways gateways{{"vm-1", status(300, 2)}, {"vm-2", status(0, std::numeric_limits<std::uint64_t>::max())}};
+    storeNextDivision({{"vm-1", status(0)}, {"vm-2", status(0)}});
+    GatewayStatus stopped = status(std::numeric_limits<std::uint64_t>::max());
+    stopped.isLeaving = true;
+    const Gateways gateways{{"vm-1", status(2)}, {"vm-2", stopped}};
     ASSERT_TRUE(storeNextDivision(gateways));
+    EXPECT_EQ((std::vector<std::string>{"vm-1"}), holders());
     EXPECT_TRUE(storeNextDivision(gateways));
     EXPECT_TRUE(divider_.current().settled);
 }
 
-TEST_F(QuotaDividerTest, LeaseHolderLostBeforeSettling_SettleTimePasses_GatewaysUseTheNewShares)
+TEST_F(QuotaDividerTest, GatewayReturnsAtAnotherAddress_NextDivision_HasTheNewAddress)
 {
-    storeNextDivision({{"vm-1", status(100, 0)}, {"vm-2", status(100, 0)}});
-    now_ += 5s;
-    storeNextDivision({{"vm-1", status(300, 1)}, {"vm-2", status(100, 1)}});
-    const QuotaDivision unsettled = divider_.current();
-    ASSERT_FALSE(unsettled.settled);
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(unsettled, now_, now_);
-    CustomerQuota customer;
-    customer.name = "desk";
-    customer.rate = 1000;
-    customer.burst = 0;
-    EXPECT_NEAR(0.5, shares.admit(customer, 0, now_).fraction, 0.01);
-    now_ += QuotaShareOptions{}.settleTime;
-    shares.onDivisionRead(unsettled, now_, now_);
-    EXPECT_GT(shares.admit(customer, 0, now_).fraction, 0.6);
+    storeNextDivision({{"vm-1", status(0)}, {"vm-2", status(0)}});
+    GatewayStatus moved = status(1);
+    moved.address = "10.0.0.9:7000";
+    ASSERT_TRUE(storeNextDivision({{"vm-1", status(1)}, {"vm-2", moved}}));
+    EXPECT_EQ("10.0.0.9:7000", divider_.current().gateways.at(1).address);
 }
 
 }
--- a/tests/serving/quotashares_test.cpp
+++ b/tests/serving/quotashares_test.cpp
@@ -1,13 +1,10 @@
 /**
- * Tests of QuotaShares and QuotaDivision: the shares in use never add up to more than a customer's rate and burst, whichever divisions the
- * gateways have read.
+ * Tests of QuotaShares: a gateway's share accrues only while the gateway may spend it, requests get all of their units or none, and large
+ * requests are granted as often as small ones.
  */
 #include "quotashares.h"
 
 #include <gtest/gtest.h>
-#include <rapidcheck/gtest.h>
-
-#include <memory>
 
 namespace Chestnutcove {
 
@@ -18,215 +15,226 @@
 constexpr double Rate = 1000;
 constexpr double Burst = 2000;
 
-CustomerQuota customer()
-{
-    CustomerQuota result;
-    result.name = "desk";
-    result.countsTokens = true;
-    result.rate = Rate;
-    result.burst = Burst;
-    return result;
-}
-
 class QuotaSharesTest : public testing::Test
 {
 protected:
-    static QuotaDivision settledFor(const std::map<std::string, CustomerDemand> &demand)
+    QuotaSharesTest()
     {
-        QuotaDivision division = divideQuotas(demand);
-        division.number = 1;
+        customer_.name = "desk";
+        customer_.countsTokens = true;
+        customer_.rate = Rate;
+        customer_.burst = Burst;
+    }
+
+    static QuotaDivision settledAmong(const std::vector<std::string> &vms)
+    {
+        std::vector<GatewayAddress> gateways;
+        for (const auto &vm : vms) {
+            gateways.push_back({vm, "address of " + vm});
+        }
+        QuotaDivision division = QuotaDivision{}.successor(gateways);
         division.settled = true;
         return division;
     }
 
-    double spend(QuotaShares &shares, double seconds)
+    void read(const QuotaDivision &division)
     {
-        double spent = 0;
-        for (int i = 0; i < static_cast<int>(seconds * 100); ++i) {
-            now_ += 10ms;
-            spent += shares.admit(customer(), 5, now_).admitted ? 5 : 0;
-        }
-        return spent;
+        shares_.onDivisionRead(division, now_, now_);
+    }
+
+    bool take(double units)
+    {
+        return shares_.take(customer_, units, now_).granted;
     }
 
     TimePoint now_{1000s};
+    CustomerQuota customer_;
+    QuotaShares shares_{"vm-1", {}};
 };
 
-TEST_F(QuotaSharesTest, NoDivisionRead_Request_IsNotAdmitted)
+TEST_F(QuotaSharesTest, NoDivisionRead_Request_IsNotGranted)
 {
-    QuotaShares shares("vm-1", {});
-    EXPECT_FALSE(shares.isUsable(now_));
-    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+    EXPECT_FALSE(shares_.isUsable(now_));
+    const ShareDecision decision = shares_.take(customer_, 1, now_);
+    EXPECT_FALSE(decision.granted);
+    EXPECT_FALSE(decision.isHolder);
 }
 
-TEST_F(QuotaSharesTest, DivisionNotReadForLong_Request_IsNotAdmitted)
+TEST_F(QuotaSharesTest, DivisionNotConfirmedForLong_Request_IsNotGranted)
 {
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(settledFor({{"vm-1", {}}}), now_, now_);
-    shares.admit(customer(), 1, now_);
+    read(settledAmong({"vm-1"}));
     now_ += 1s;
-    EXPECT_TRUE(shares.admit(customer(), 1, now_).admitted);
+    EXPECT_TRUE(take(1));
+    now_ += QuotaShareOptions{}.maxAge;
+    EXPECT_FALSE(take(1));
+}
+
+TEST_F(QuotaSharesTest, DivisionConfirmed_Request_IsGrantedBeyondTheMaximumAge)
+{
+    read(settledAmong({"vm-1"}));
+    for (int i = 0; i < 10; ++i) {
+        now_ += 2s;
+        shares_.onDivisionConfirmed(now_, now_);
+    }
+    EXPECT_TRUE(take(1));
+}
+
+TEST_F(QuotaSharesTest, NotAHolder_Request_IsNotGrantedAndSaysSo)
+{
+    read(settledAmong({"vm-2", "vm-3"}));
     now_ += 5s;
-    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+    const ShareDecision decision = shares_.take(customer_, 1, now_);
+    EXPECT_FALSE(decision.granted);
+    EXPECT_FALSE(decision.isHolder);
 }
 
-TEST_F(QuotaSharesTest, DivisionNotSettled_ProcessRestarts_SpendsTheSmallerShare)
+TEST_F(QuotaSharesTest, CutOffWhileAnotherHeldTheShare_DivisionReadAgain_NothingAccruedMeanwhile)
 {
-    const QuotaDivision previous = settledFor({{"vm-1", {{"desk", 100}}}, {"vm-2", {{"desk", 100}}}});
-    const QuotaDivision unsettled = previous.successor(divideQuotas({{"vm-1", {{"desk", 300}}}, {"vm-2", {{"desk", 100}}}}));
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(unsettled, now_, now_);
-    shares.admit(customer(), 0, now_);
-    const double spent = spend(shares, 4);
-    EXPECT_GT(spent, 0.45 * Rate * 4);
-    EXPECT_LE(spent, 0.5 * (Rate * 4 + Burst));
+    const QuotaDivision first = settledAmong({"vm-1"});
+    read(first);
+    now_ += 10s;
+    shares_.onDivisionConfirmed(now_, now_);
+    ASSERT_TRUE(take(Burst));
+    // Two divisions follow while this gateway is cut off: the first one gives its share to another gateway, the second gives it back.
+    QuotaDivision third = first.successor({{"vm-2", "b"}}).successor({{"vm-1", "a"}});
+    third.settled = true;
+    now_ += 30s;
+    read(third);
+    const double accruedWhileFresh = Rate * toSeconds(QuotaShareOptions{}.maxAge);
+    ASSERT_GT(accruedWhileFresh, Burst);
+    ASSERT_TRUE(take(Burst));
+    EXPECT_FALSE(take(1));
 }
 
-TEST_F(QuotaSharesTest, DemandAtOneVmOnly_Division_GivesItMostAndTheOtherAShare)
+TEST_F(QuotaSharesTest, StaleBetweenTwoRequests_ShareEmptyBefore_AccruesOnlyWhileFresh)
 {
-    const QuotaDivision division = divideQuotas({{"vm-1", {{"desk", 900}}}, {"vm-2", {}}});
-    EXPECT_NEAR(division.fractionOf("desk", "vm-1"), 0.75, 0.01);
-    EXPECT_NEAR(division.fractionOf("desk", "vm-2"), 0.25, 0.01);
+    QuotaShareOptions options;
+    options.maxAge = 500ms;
+    options.settleTime = 600ms;
+    shares_ = QuotaShares("vm-1", options);
+    read(settledAmong({"vm-1"}));
+    now_ += 100ms;
+    ASSERT_TRUE(take(100));
+    now_ += 10s;
+    shares_.onDivisionConfirmed(now_, now_);
+    EXPECT_TRUE(take(400));
+    EXPECT_FALSE(take(10));
 }
 
-TEST_F(QuotaSharesTest, RequestNotRun_Refunded_AnotherIsAdmitted)
+TEST_F(QuotaSharesTest, DivisionNotSettled_NewHolder_SpendsNothingUntilItIsSettled)
 {
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(settledFor({{"vm-1", {}}}), now_, now_);
-    shares.admit(customer(), 0, now_);
-    now_ += 3s;
-    EXPECT_TRUE(shares.admit(customer(), Burst, now_).admitted);
-    EXPECT_FALSE(shares.admit(customer(), Burst, now_).admitted);
-    shares.refund("desk", Burst);
-    EXPECT_TRUE(shares.admit(customer(), Burst, now_).admitted);
+    QuotaDivision division = settledAmong({"vm-2"}).successor({{"vm-1", "a"}});
+    read(division);
+    now_ += 2s;
+    EXPECT_FALSE(take(1));
+    division.settled = true;
+    read(division);
+    now_ += 1s;
+    EXPECT_TRUE(take(900));
+}
+
+TEST_F(QuotaSharesTest, LeaseHolderLostBeforeSettling_SettleTimePasses_NewHolderSpends)
+{
+    read(settledAmong({"vm-2"}).successor({{"vm-1", "a"}}));
+    for (Duration waited{}; waited < QuotaShareOptions{}.settleTime; waited += 1s) {
+        EXPECT_FALSE(take(1));
+        now_ += 1s;
+        shares_.onDivisionConfirmed(now_, now_);
+    }
+    EXPECT_FALSE(take(1));
+    now_ += 1s;
+    EXPECT_TRUE(take(900));
 }
 
-TEST_F(QuotaSharesTest, FirstRequestOfCustomerLongAfterStart_FullBurst_IsAdmitted)
+TEST_F(QuotaSharesTest, FirstRequestOfCustomerLongAfterStart_FullBurst_IsGranted)
 {
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(settledFor({{"vm-1", {}}}), now_, now_);
+    read(settledAmong({"vm-1"}));
     now_ += 3s;
-    EXPECT_TRUE(shares.admit(customer(), Burst, now_).admitted);
+    EXPECT_TRUE(take(Burst));
 }
 
 TEST_F(QuotaSharesTest, FirstDivisionEver_FirstRequest_HasTheFullBurst)
 {
-    QuotaShares shares("vm-1", {});
-    shares.onNoDivisionStored();
-    shares.onDivisionRead(settledFor({{"vm-1", {}}}), now_, now_);
-    EXPECT_TRUE(shares.admit(customer(), Burst, now_).admitted);
-    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+    shares_.onNoDivisionStored();
+    read(settledAmong({"vm-1"}));
+    EXPECT_TRUE(take(Burst));
+    EXPECT_FALSE(take(1));
 }
 
-TEST_F(QuotaSharesTest, SecondDivisionRead_FirstRequestOfCustomer_BucketStartsEmpty)
+TEST_F(QuotaSharesTest, SecondDivisionRead_FirstRequestOfCustomer_ShareStartsEmpty)
 {
-    const QuotaDivision first = settledFor({{"vm-1", {}}, {"vm-2", {}}});
-    QuotaDivision second = first.successor(divideQuotas({{"vm-1", {{"desk", 100}}}, {"vm-2", {}}}));
+    const QuotaDivision first = settledAmong({"vm-1", "vm-2"});
+    QuotaDivision second = first.successor({{"vm-1", "a"}, {"vm-2", "b"}, {"vm-3", "c"}});
     second.settled = true;
-    QuotaShares shares("vm-1", {});
-    shares.onNoDivisionStored();
-    shares.onDivisionRead(first, now_, now_);
-    shares.onDivisionRead(second, now_, now_);
-    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+    shares_.onNoDivisionStored();
+    read(first);
+    read(second);
+    EXPECT_FALSE(take(1));
 }
 
-TEST_F(QuotaSharesTest, ShareWasZero_ShareReturns_NothingAccruedMeanwhile)
+TEST_F(QuotaSharesTest, ShareWasGivenAway_ShareReturns_NothingAccruedMeanwhile)
 {
-    const QuotaDivision withShare = settledFor({{"vm-1", {}}, {"vm-2", {}}});
-    QuotaDivision withoutShare = withShare.successor(divideQuotas({{"vm-2", {}}}));
+    const QuotaDivision withShare = settledAmong({"vm-1", "vm-2"});
+    QuotaDivision withoutShare = withShare.successor({{"vm-2", "b"}});
     withoutShare.settled = true;
-    QuotaDivision withShareAgain = withoutShare.successor(divideQuotas({{"vm-1", {}}, {"vm-2", {}}}));
+    QuotaDivision withShareAgain = withoutShare.successor({{"vm-1", "a"}, {"vm-2", "b"}});
     withShareAgain.settled = true;
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(withShare, now_, now_);
-    shares.admit(customer(), 0, now_);
-    shares.onDivisionRead(withoutShare, now_, now_);
-    now_ += 10s;
-    shares.onDivisionRead(withShareAgain, now_, now_);
-    EXPECT_FALSE(shares.admit(customer(), 1, now_).admitted);
+    read(withShare);
+    take(0);
+    read(withoutShare);
+    now_ += 5s;
+    read(withShareAgain);
+    EXPECT_FALSE(take(1));
 }
 
-TEST_F(QuotaSharesTest, CustomerAboveItsRate_RefusedRequests_AreToldIncreasingWaits)
+TEST_F(QuotaSharesTest, RequestNotRun_Refunded_AnotherIsGranted)
+{
+    read(settledAmong({"vm-1"}));
+    now_ += 3s;
+    EXPECT_TRUE(take(Burst));
+    EXPECT_FALSE(take(Burst));
+    shares_.refund("desk", Burst, now_);
+    EXPECT_TRUE(take(Burst));
+}
+
+TEST_F(QuotaSharesTest, GrantReturnedTwice_Share_CountsItOnce)
 {
-    QuotaShares shares("vm-1", {});
-    shares.onDivisionRead(settledFor({{"vm-1", {}}}), now_, now_);
-    EXPECT_EQ(100ms, std::chrono::duration_cast<Milliseconds>(shares.admit(customer(), 100, now_).wait));
-    EXPECT_EQ(200ms, std::chrono::duration_cast<Milliseconds>(shares.admit(customer(), 100, now_).wait));
-    EXPECT_EQ(300ms, std::chrono::duration_cast<Milliseconds>(shares.admit(customer(), 100, now_).wait));
+    read(settledAmong({"vm-1"}));
+    now_ += 3s;
+    ASSERT_TRUE(shares_.grant(customer_, {7, 1}, 1500, now_).granted);
+    shares_.onGrantReturned("desk", {7, 1}, 1500, now_);
+    shares_.onGrantReturned("desk", {7, 1}, 1500, now_);
+    EXPECT_TRUE(take(Burst));
+    EXPECT_FALSE(take(1));
 }
 
-TEST_F(QuotaSharesTest, Division_SerialisedAndParsed_IsTheSame)
+TEST_F(QuotaSharesTest, CustomerAboveItsRate_RefusedRequests_AreToldIncreasingWaits)
 {
-    const QuotaDivision division = settledFor({{"vm-1", {{"desk", 1}}}}).successor(divideQuotas({{"vm-2", {{"desk", 2}}}}));
-    const auto read = QuotaDivision::fromText(division.toText());
-    ASSERT_TRUE(read.ok());
-    EXPECT_EQ(read->fractions, division.fractions);
-    EXPECT_EQ(read->previousVms, division.previousVms);
-    EXPECT_FALSE(QuotaDivision::fromText("{}").ok());
-    EXPECT_FALSE(QuotaDivision::fromText("[1").ok());
+    read(settledAmong({"vm-1"}));
+    EXPECT_EQ(100ms, std::chrono::duration_cast<Milliseconds>(shares_.take(customer_, 100, now_).wait));
+    EXPECT_EQ(200ms, std::chrono::duration_cast<Milliseconds>(shares_.take(customer_, 100, now_).wait));
+    EXPECT_EQ(300ms, std::chrono::duration_cast<Milliseconds>(shares_.take(customer_, 100, now_).wait));
 }
 
-/**
- * Gateways read the stored division at random times, are cut off from the store and restarted, while the lease holder stores new divisions
- * at random times. Property: in any 8 s, all gateways together spend at most the rate times 8 s plus the burst.
- */
-RC_GTEST_PROP(QuotaShares, AnyReadsCutsAndRestarts_AllGateways_StayWithinRateAndBurst, ())
-{
-    const QuotaShareOptions options;
-    const std::vector<std::string> vms{"vm-1", "vm-2", "vm-3"};
-    TimePoint now{1000s};
-    QuotaDivision stored = divideQuotas({{"vm-1", {}}, {"vm-2", {}}, {"vm-3", {}}});
-    stored.number = 1;
-    stored.settled = true;
-    TimePoint storedAt = now;
-    std::map<std::string, std::unique_ptr<QuotaShares>> gateways;
-    for (const auto &vm : vms) {
-        gateways[vm] = std::make_unique<QuotaShares>(vm, options);
-    }
-    std::vector<std::pair<TimePoint, double>> spent;
-    const auto steps = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 1000));
-    for (const int step : steps) {
-        now += 50ms * (1 + step % 7);
-        const std::string &vm = vms[static_cast<std::size_t>(step / 7 % 3)];
-        QuotaShares &gateway = *gateways[vm];
-        switch (step % 11) {
-        case 0:
-        case 1:
-        case 2:
-            gateway.onDivisionRead(stored, now, now);
-            break;
-        case 3:
-            if (!stored.settled && now - storedAt >= options.settleTime) {
-                stored.settled = true;
-            } else if (stored.settled) {
-                std::map<std::string, CustomerDemand> demand;
-                for (std::size_t i = 0; i < vms.size(); ++i) {
-                    demand[vms[i]] = {{"desk", static_cast<double>(step * (i + 1) % 97)}};
-                }
-                stored = stored.successor(divideQuotas(demand));
-                storedAt = now;
-            }
-            break;
-        case 4:
-            if (step % 5 == 0) {
-                gateways[vm] = std::make_unique<QuotaShares>(vm, options);
-            }
-            break;
-        default:
-            for (int i = 0; i < 50; ++i) {
-                if (gateway.admit(customer(), 25, now).admitted) {
-                    spent.emplace_back(now, 25);
-                }
-            }
-        }
-    }
-    for (std::size_t first = 0; first < spent.size(); ++first) {
-        double sum = 0;
-        for (std::size_t i = first; i < spent.size() && spent[i].first - spent[first].first <= 8s; ++i) {
-            sum += spent[i].second;
-        }
-        RC_ASSERT(sum <= Rate * 8 + Burst + 0.001);
+/** Pattern: a customer far above its limit sends many small requests and few that are twenty times as large. */
+TEST_F(QuotaSharesTest, CustomerAboveItsRate_LargeRequestsAmongSmallOnes_AreGrantedAsOften)
+{
+    read(settledAmong({"vm-1"}));
+    int small = 0;
+    int smallGranted = 0;
+    int large = 0;
+    int largeGranted = 0;
+    for (int i = 0; i < 60000; ++i) {
+        now_ += 1ms;
+        shares_.onDivisionConfirmed(now_, now_);
+        const bool isLarge = i % 97 == 0;
+        (isLarge ? large : small) += 1;
+        (isLarge ? largeGranted : smallGranted) += take(isLarge ? 200 : 10) ? 1 : 0;
     }
+    const double smallShare = static_cast<double>(smallGranted) / small;
+    const double largeShare = static_cast<double>(largeGranted) / large;
+    EXPECT_LT(smallShare, 0.5);
+    EXPECT_GT(largeShare, smallShare * 0.5);
 }
 
 }
--- a/tests/standins/usersplatform.cpp
+++ b/tests/standins/usersplatform.cpp
@@ -2,10 +2,14 @@
 
 #include <absl/strings/escaping.h>
 
+#include <algorithm>
+
 namespace Chestnutcove {
 
 namespace {
 
+constexpr std::chrono::milliseconds FeedCheckInterval{20};
+
 nlohmann::json rowToJson(const std::string &table, const std::string &key, const std::string &value, std::uint64_t version)
 {
     return {{"table", table}, {"part", ""}, {"key", key}, {"value", value}, {"ver", version}};
@@ -34,6 +38,19 @@
 
 }
 
+UsersPlatformStandIn::UsersPlatformStandIn()
+    : feedTimer_([this](const std::stop_token &stop) {
+        while (!stop.stop_requested()) {
+            std::this_thread::sleep_for(FeedCheckInterval);
+            const std::lock_guard lock(mutex_);
+            answerFeeds(std::chrono::steady_clock::now());
+        }
+    })
+{
+}
+
+UsersPlatformStandIn::~UsersPlatformStandIn() = default;
+
 void UsersPlatformStandIn::handleRequest(const HttpRequest &request, const HttpReply &reply)
 {
     const std::lock_guard lock(mutex_);
@@ -61,12 +78,36 @@
             isCommitted ? 200 : 412, {}, nlohmann::json{{"ver", lastVersion_}, {"now_ms", 1}, {"rows", nlohmann::json::array()}}.dump());
         return;
     }
-    const std::string after = parameterOf(request, "after");
-    const auto rows = rowsOf(parameterOf(request, "table"),
-                             parameterOf(request, "from"),
-                             parameterOf(request, "target"),
-                             after.empty() ? 0 : std::stoull(after));
-    reply.respond(200, {}, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", 1}}.dump());
+    if (request.path.ends_with("rows-feed")) {
+        const std::chrono::milliseconds wait(std::stoul(parameterOf(request, "wait_ms")));
+        const auto now = std::chrono::steady_clock::now();
+        feeds_.push_back({parameterOf(request, "table"), std::stoull(parameterOf(request, "after")), now + wait, reply});
+        answerFeeds(now);
+        return;
+    }
+    respondWithRows(reply, rowsOf(parameterOf(request, "table"), parameterOf(request, "from"), parameterOf(request, "target"), 0));
+}
+
+void UsersPlatformStandIn::respondWithRows(const HttpReply &reply, const nlohmann::json &rows) const
+{
+    const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt_);
+    reply.respond(200, {}, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", uptime.count()}}.dump());
+}
+
+void UsersPlatformStandIn::answerFeeds(std::chrono::steady_clock::time_point now)
+{
+    std::erase_if(feeds_, [&](const PendingFeed &feed) {
+        if (down_) {
+            feed.reply.respond(503, {}, "{}");
+            return true;
+        }
+        const auto rows = rowsOf(feed.table, "", "", feed.after);
+        if (rows.empty() && now < feed.answerBy) {
+            return false;
+        }
+        respondWithRows(feed.reply, rows);
+        return true;
+    });
 }
 
 nlohmann::json
@@ -75,8 +116,12 @@
     nlohmann::json rows = nlohmann::json::array();
     for (auto it = rows_.lower_bound({table, from}); it != rows_.end() && it->first.first == table; ++it) {
         const bool inRange = to.empty() || it->first.second < to;
-        if (inRange && it->second.version > after) {
+        const bool isWanted = after > 0 || !it->second.isDeleted;
+        if (inRange && isWanted && it->second.version > after) {
             rows.push_back(rowToJson(table, it->first.second, it->second.value, it->second.version));
+            if (it->second.isDeleted) {
+                rows.back()["deleted"] = true;
+            }
         }
     }
     return rows;
@@ -87,7 +132,7 @@
     const auto keyOf = [](const nlohmann::json &row) { return RowKey(row["table"].get<std::string>(), row["key"].get<std::string>()); };
     for (const auto &row : body["expected"]) {
         const auto it = rows_.find(keyOf(row));
-        if ((it == rows_.end() ? 0 : it->second.version) != row["ver"].get<std::uint64_t>()) {
+        if ((it == rows_.end() || it->second.isDeleted ? 0 : it->second.version) != row["ver"].get<std::uint64_t>()) {
             return false;
         }
     }
@@ -96,8 +141,9 @@
         rows_[keyOf(row)] = Row{row["value"].get<std::string>(), lastVersion_};
     }
     for (const auto &row : body["remove"]) {
-        rows_.erase(keyOf(row));
+        rows_[keyOf(row)] = Row{"", lastVersion_, true};
     }
+    answerFeeds(std::chrono::steady_clock::now());
     return true;
 }
 
@@ -107,10 +153,12 @@
     if (request.path == "/admin/row") {
         rows_[{body["table"].get<std::string>(), body["key"].get<std::string>()}]
             = Row{absl::Base64Escape(body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump()), ++lastVersion_};
+        answerFeeds(std::chrono::steady_clock::now());
     } else if (request.path == "/admin/faults") {
         down_ = body.value("down", down_);
         silentEndpoint_ = body.value("silentEndpoint", silentEndpoint_);
         runsToRefuse_ = body.value("refusedRuns", runsToRefuse_);
+        answerFeeds(std::chrono::steady_clock::now());
     }
     reply.respond(200, {}, nlohmann::json{{"requests", requests_}, {"reports", reports_}}.dump());
 }
--- a/tests/standins/usersplatform.h
+++ b/tests/standins/usersplatform.h
@@ -8,17 +8,25 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 namespace Chestnutcove {
 
 class UsersPlatformStandIn
 {
 public:
+    UsersPlatformStandIn();
+    ~UsersPlatformStandIn();
+    UsersPlatformStandIn(const UsersPlatformStandIn &) = delete;
+    UsersPlatformStandIn &operator=(const UsersPlatformStandIn &) = delete;
+
     /** May be called on several threads. */
     void handleRequest(const HttpRequest &request, const HttpReply &reply);
 
@@ -28,11 +36,23 @@
         /** Base64-encoded. */
         std::string value;
         std::uint64_t version = 0;
+        bool isDeleted = false;
+    };
+    /** A call for changes that waits until there are some. */
+    struct PendingFeed
+    {
+        std::string table;
+        std::uint64_t after = 0;
+        std::chrono::steady_clock::time_point answerBy;
+        HttpReply reply;
     };
     using RowKey = std::pair<std::string, std::string>;
 
     /** Rows of a table with keys in [from, to) and versions above @p after; an empty @p to is no limit. */
     nlohmann::json rowsOf(const std::string &table, const std::string &from, const std::string &to, std::uint64_t after) const;
+    void respondWithRows(const HttpReply &reply, const nlohmann::json &rows) const;
+    /** Answers the calls for changes that have waited long enough or have changes to return. */
+    void answerFeeds(std::chrono::steady_clock::time_point now);
     /** Applies all writes if every expected row version matches. @return whether the writes were applied. */
     bool commit(const nlohmann::json &body);
     void serveStore(const HttpRequest &request, const HttpReply &reply);
@@ -43,6 +63,8 @@
     /** Rows by table and key. */
     std::map<RowKey, Row> rows_;
     std::uint64_t lastVersion_ = 0;
+    std::vector<PendingFeed> feeds_;
+    std::chrono::steady_clock::time_point startedAt_ = std::chrono::steady_clock::now();
     /** The store responds with 503. */
     bool down_ = false;
     /** The endpoint accepts requests and never responds. */
@@ -51,6 +73,8 @@
     int runsToRefuse_ = 0;
     nlohmann::json requests_ = nlohmann::json::array();
     nlohmann::json reports_ = nlohmann::json::array();
+    /** Answers calls for changes whose time is over. */
+    std::jthread feedTimer_;
 };
 
 }
