QuotaShares: a grant counts as spent at once; two refusals decide

A grant stayed outstanding for 0.3 s after it was spent, so a quarter to a half of the bucket's depth was never usable, and lots that came late were lost. Besides, a request at a used-up limit asked four holders in turn: 0.3 to 0.6 s on a gateway whose processor was busy.

Change: units are asked for only by a request that has arrived, so a grant counts as spent when it is given; units are taken back for 2 s. A request that fits into one lot is refused after two refusals. The order in which a gateway asks moves to QuotaDivision.

Ruled out: a shorter lifetime of grants (late lots would be lost more often).

--- a/src/chestnutcove/quotaadmission.cpp
+++ b/src/chestnutcove/quotaadmission.cpp
@@ -1,6 +1,5 @@
 #include "quotaadmission.h"
 
-#include "rendezvous.h"
 #include "suspendclock.h"
 
 #include <algorithm>
@@ -99,13 +98,7 @@
     if (!isNew) {
         return it->second;
     }
-    const auto holders = shares_.division().holdersOf(customer);
-    // Each gateway has its own order, so that all holders get asks.
-    it->second = rendezvous(vm_ + '/' + customer, holders, holders.size());
-    const auto own = std::find(it->second.begin(), it->second.end(), vm_);
-    if (own != it->second.end()) {
-        std::rotate(it->second.begin(), own, own + 1);
-    }
+    it->second = shares_.division().askingOrder(customer, vm_);
     return it->second;
 }
 
--- a/src/libserving/quotacollector.cpp
+++ b/src/libserving/quotacollector.cpp
@@ -62,6 +62,7 @@
         collection.missing -= sent.ask.units;
     } else if (answer.isHolder) {
         collection.wait = std::min(collection.wait.value_or(answer.wait), answer.wait);
+        ++collection.refusals;
     }
 }
 
@@ -127,6 +128,11 @@
         return;
     }
     const auto &holders = collection.request.holders;
+    const bool fitsIntoOneLot = collection.request.maxLot <= 0 || collection.request.units <= collection.request.maxLot;
+    if (fitsIntoOneLot && collection.refusals >= options_.maxRefusals) {
+        finish(collection, QuotaVerdict::Result::RateLimited, actions);
+        return;
+    }
     while (collection.nextHolder < holders.size() && isSuspect(holders[collection.nextHolder])) {
         ++collection.nextHolder;
     }
--- a/src/libserving/quotacollector.h
+++ b/src/libserving/quotacollector.h
@@ -10,6 +10,7 @@
 
 #include "timepoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -89,7 +90,9 @@
     /** Time between two probes of a holder that did not answer. */
     Duration probeInterval = std::chrono::milliseconds(500);
     /** Grants that arrive later than this after they were asked for are not returned, since their holder no longer accepts them. */
-    Duration grantLifetime = std::chrono::milliseconds(300);
+    Duration grantLifetime = std::chrono::seconds(2);
+    /** A request that one holder could serve is refused once this many have refused it; the others are as used up as these. */
+    std::size_t maxRefusals = 2;
 };
 
 struct CollectionRequest
@@ -132,6 +135,7 @@
         std::vector<QuotaLot> lots;
         /** The shortest time that a holder named. */
         std::optional<Duration> wait;
+        std::size_t refusals = 0;
         bool isWaiting = false;
         /** A holder that counts as silent was asked, since there was no other. */
         bool hasAskedSuspect = false;
--- a/src/libserving/quotadivision.cpp
+++ b/src/libserving/quotadivision.cpp
@@ -35,6 +35,16 @@
     return rendezvous(customer, vms(), MaxQuotaHolders);
 }
 
+std::vector<std::string> QuotaDivision::askingOrder(const std::string &customer, const std::string &vm) const
+{
+    auto order = rendezvous(vm + '/' + customer, holdersOf(customer), MaxQuotaHolders);
+    const auto own = std::find(order.begin(), order.end(), vm);
+    if (own != order.end()) {
+        std::rotate(order.begin(), own, own + 1);
+    }
+    return order;
+}
+
 std::size_t QuotaDivision::holderCount() const
 {
     return std::min(gateways.size(), MaxQuotaHolders);
--- a/src/libserving/quotadivision.h
+++ b/src/libserving/quotadivision.h
@@ -43,6 +43,8 @@
     std::vector<std::string> vms() const;
     /** The VMs that hold shares of the customer's limit. */
     std::vector<std::string> holdersOf(const std::string &customer) const;
+    /** The same in the order in which a VM asks them: itself first, and the others in an order of its own, so that all get as many asks. */
+    std::vector<std::string> askingOrder(const std::string &customer, const std::string &vm) const;
     /** Number of holders of each customer. */
     std::size_t holderCount() const;
     /** A VM's fraction of the customer's limit in this division, ignoring the previous one. */
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -14,8 +14,8 @@
 
 }
 
-QuotaShares::Share::Share(Duration grantLifetime)
-    : bucket(grantLifetime)
+QuotaShares::Share::Share()
+    : bucket(Duration::zero())
     , largestRequest(LargestRequestPeriod)
 {
 }
@@ -125,7 +125,7 @@
         restartAccrual(now);
     }
     const double capacity = wholeCapacity(customer);
-    const auto [it, isNew] = shares_.try_emplace(customer.name, options_.grantLifetime);
+    const auto [it, isNew] = shares_.try_emplace(customer.name);
     Share &share = it->second;
     if (isNew) {
         // A share starts empty, since the units spent by a former run of this process are unknown.
@@ -187,13 +187,26 @@
 ShareDecision QuotaShares::grant(const CustomerQuota &customer, const GrantId &id, double units, TimePoint now)
 {
     Share &share = shareOf(customer, now);
-    ShareDecision decision = decide(share, units, now);
-    if (decision.granted && units > 0) {
-        decision.granted = share.bucket.grant(id, units, now) > 0;
+    dropOldGrants(share, now);
+    const bool isRepeated = std::any_of(share.grants.begin(), share.grants.end(), [&id](const Grant &grant) { return grant.id == id; });
+    if (isRepeated) {
+        return {};
+    }
+    const ShareDecision decision = decide(share, units, now);
+    if (decision.granted) {
+        share.bucket.take(units, now);
+        share.grants.push_back({id, units, now});
     }
     return decision;
 }
 
+void QuotaShares::dropOldGrants(Share &share, TimePoint now) const
+{
+    while (!share.grants.empty() && now - share.grants.front().grantedAt >= options_.grantLifetime) {
+        share.grants.pop_front();
+    }
+}
+
 void QuotaShares::refund(const std::string &customer, double units, TimePoint now)
 {
     const auto it = shares_.find(customer);
@@ -204,10 +217,18 @@
 
 void QuotaShares::onGrantReturned(const std::string &customer, const GrantId &id, double units, TimePoint now)
 {
-    const auto it = shares_.find(customer);
-    if (it != shares_.end()) {
-        it->second.bucket.returnGrant(id, units, now);
+    const auto owner = shares_.find(customer);
+    if (owner == shares_.end()) {
+        return;
+    }
+    Share &share = owner->second;
+    dropOldGrants(share, now);
+    const auto grant = std::find_if(share.grants.begin(), share.grants.end(), [&id](const Grant &each) { return each.id == id; });
+    if (grant == share.grants.end()) {
+        return;
     }
+    share.bucket.putBack(std::min(units, grant->units), now);
+    share.grants.erase(grant);
 }
 
 }
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -1,7 +1,8 @@
 /**
  * This gateway's shares of the customers' rate limits (see QuotaDivision). A share is spent by this gateway's own requests and by grants to
  * gateways that ask for units; either way a request gets all of its units or none, so that large requests don't lose their units to small
- * ones.
+ * ones. A grant is spent only on the request that it was asked for, which arrived before, so it counts as spent at once: what is admitted
+ * in a window, of requests that arrived in it, was granted in it.
  *
  * Invariant: units accrue in a share only while this gateway may spend it under the division that it has read, and only while that read is
  * recent enough. Together with the settling of divisions, no two gateways accrue the same part of a limit at the same time.
@@ -15,6 +16,7 @@
 #include "sharebucket.h"
 #include "timepoint.h"
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -27,8 +29,8 @@
     Duration maxAge = std::chrono::milliseconds(7500);
     /** Time after the first read of a division at which it is settled in any case; must exceed maxAge. */
     Duration settleTime = std::chrono::milliseconds(8700);
-    /** Time within which a grant is spent or returned. */
-    Duration grantLifetime = std::chrono::milliseconds(300);
+    /** Time within which the units of a grant that was not spent are taken back. */
+    Duration grantLifetime = std::chrono::seconds(2);
     /** Units that all VMs together may spend beyond rate and burst; compensates for the loss from dividing a burst between VMs. */
     double allowance = 0;
     /** Fraction of the units that rate and burst allow in a window that may be spent in addition, for the same reason. */
@@ -77,11 +79,19 @@
     const QuotaDivision &division() const;
 
 private:
+    struct Grant
+    {
+        GrantId id;
+        double units = 0;
+        TimePoint grantedAt;
+    };
     struct Share
     {
-        explicit Share(Duration grantLifetime);
+        Share();
 
         ShareBucket bucket;
+        /** Grants that may still be returned, oldest first. */
+        std::deque<Grant> grants;
         double fraction = 0;
         /** Units per second and the capacity of the whole limit, as they were applied to the bucket. */
         double rate = 0;
@@ -100,6 +110,7 @@
     ShareDecision decide(Share &share, double units, TimePoint now);
     /** Reserves units that have yet to accrue for a refused request. @return the time until they have accrued. */
     Duration reserveUnits(Share &share, double units, TimePoint now) const;
+    void dropOldGrants(Share &share, TimePoint now) const;
     void applyLimits(Share &share, TimePoint now);
     /** Units no longer accrue after the end of the freshness, if that has passed. */
     void suspendIfStale(TimePoint now);
--- a/tests/serving/quotadivision_test.cpp
+++ b/tests/serving/quotadivision_test.cpp
@@ -60,6 +60,20 @@
     }
 }
 
+TEST_F(QuotaDivisionTest, LargeFleet_AskingOrders_SpreadTheFirstAsksOverTheHolders)
+{
+    const QuotaDivision division = QuotaDivision{}.successor(gateways(103));
+    std::map<std::string, std::size_t> firstAsks;
+    for (const auto &vm : division.vms()) {
+        ++firstAsks[division.askingOrder("desk", vm).front()];
+    }
+    ASSERT_EQ(MaxQuotaHolders, firstAsks.size());
+    for (const auto &[vm, count] : firstAsks) {
+        EXPECT_GT(count, 12U) << vm;
+        EXPECT_EQ(vm, division.askingOrder("desk", vm).front());
+    }
+}
+
 TEST_F(QuotaDivisionTest, TwoGateways_Fractions_AreHalves)
 {
     const QuotaDivision division = QuotaDivision{}.successor({{"vm-1", "a"}, {"vm-2", "b"}});
