Process tests: two gateways share a limit; rejected writes are logged

Two gateways on one store: a caller of one of them gets the whole limit and no more, and goes on being served when the other holder is killed.

A write that the store rejects with an undefined status, such as a row that is too long, is an error in the log and counted; such rejections went unseen while the division of quotas outgrew its row.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -20,7 +20,6 @@
 /** The same for the first announcement that a process reads, since its age is unknown. */
 constexpr Milliseconds FirstAnnouncementLifetime{2000};
 constexpr Milliseconds OperationsTimeout{800};
-constexpr Milliseconds SharedTableTimeout{700};
 /** A window is not sealed earlier than this after its end, because the clocks of VMs differ. */
 constexpr Milliseconds EarliestSealDelay{500};
 /** A window is sealed this long before its report is due, even if the figures of some gateways are missing. */
@@ -59,6 +58,7 @@
                                    asio::io_context &context,
                                    PlatformTable &table,
                                    HttpClient &client,
+                                   const PlatformOptions &store,
                                    EndpointPool &pool,
                                    EndpointDirectory &directory,
                                    QuotaAdmission &quotas,
@@ -76,7 +76,7 @@
     , log_(log)
     , sharedRows_(context,
                   client,
-                  {"http://" + settings.store.text(), SharedTableTimeout},
+                  store,
                   log,
                   {[this](const QuotaDivision &division, TimePoint readAt) { onDivision(division, readAt); },
                    [this](TimePoint readAt) { quotas_.onDivisionConfirmed(readAt); },
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -33,6 +33,7 @@
                      asio::io_context &context,
                      PlatformTable &table,
                      HttpClient &client,
+                     const PlatformOptions &store,
                      EndpointPool &pool,
                      EndpointDirectory &directory,
                      QuotaAdmission &quotas,
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds ConfirmationMargin{1300};
 /** Endpoints register one after the other; their changes are collected for this long. */
 constexpr Milliseconds EndpointCoalescingPause{250};
+/** Bytes of a rejected write's answer that are logged. */
+constexpr std::size_t MaxLoggedAnswer = 200;
 constexpr Milliseconds SweepInterval{200};
 /** Keys are accepted only while the last confirmed read is younger than the bound of key revocation minus this margin. */
 constexpr Milliseconds RevocationMargin{700};
@@ -88,7 +90,7 @@
     , metrics_(metrics)
     , incarnation_(incarnation)
     , httpClient_(context.get_executor(), MaxStoreConnectionAge)
-    , table_(httpClient_, {"http://" + settings_.store.text(), StoreTimeout})
+    , table_(httpClient_, storeOptions())
     , configurationFreshness_(settings_.keyRevocation - RevocationMargin)
     , directory_(EndpointDirectoryOptions{})
     , placement_(PlacementOptions{}, loads_)
@@ -96,7 +98,18 @@
     , quotas_(
           context, settings_.vmName, incarnation_, quotaOptions(settings_), [this] { return catalogue_; }, metrics, log)
     , fleet_(
-          settings_, context, table_, httpClient_, pool_, directory_, quotas_, [this] { return catalogue_; }, incarnation_, metrics_, log)
+          settings_,
+          context,
+          table_,
+          httpClient_,
+          storeOptions(),
+          pool_,
+          directory_,
+          quotas_,
+          [this] { return catalogue_; },
+          incarnation_,
+          metrics_,
+          log)
     , forwarding_{context,
                   log,
                   metrics,
@@ -157,6 +170,18 @@
 
 PlatformGateway::~PlatformGateway() = default;
 
+PlatformOptions PlatformGateway::storeOptions()
+{
+    PlatformOptions options;
+    options.url = "http://" + settings_.store.text();
+    options.timeout = StoreTimeout;
+    options.onWriteRejected = [this](int status, const std::string &body) {
+        metrics_.counter("store_writes_rejected_total").add();
+        log_.error("the store rejected a write", {{"status", std::to_string(status)}, {"answer", body.substr(0, MaxLoggedAnswer)}});
+    };
+    return options;
+}
+
 absl::Status PlatformGateway::start()
 {
     if (!settings_.callerListen || !settings_.readinessListen) {
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -54,6 +54,7 @@
     void checkReloadedSettings(const absl::StatusOr<Platform::PlatformSettings> &settings);
 
 private:
+    PlatformOptions storeOptions();
     void runEvery(Milliseconds interval, std::function<void(TimePoint)> action);
     void onConfiguration(const std::string &value);
     void onEndpointRows(const TableRows &rows, TimePoint now);
--- a/src/libplatform/httptable.h
+++ b/src/libplatform/httptable.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -23,6 +24,8 @@
     /** Base URL without a trailing slash. */
     std::string url;
     std::chrono::milliseconds timeout{1000};
+    /** Called for a write that the service answered with a status that has no defined meaning, such as that of a row that is too long. */
+    std::function<void(int status, const std::string &body)> onWriteRejected;
 };
 
 template<TableFormat Format>
@@ -107,6 +110,9 @@
                 : absl::IsUnavailable(result.status)         ? CommitOutcome::NotSent
                                                              : CommitOutcome::Unknown;
             recordResult(outcome == CommitOutcome::Committed || outcome == CommitOutcome::Conflict);
+            if (result.status.ok() && outcome == CommitOutcome::Unknown && options_.onWriteRejected) {
+                options_.onWriteRejected(result.code, result.body);
+            }
             onOutcome(outcome);
         });
     }
--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -36,18 +36,25 @@
 
     void startGateway()
     {
-        // Each test process uses its own loopback address, since the metrics port is fixed and several test processes may run at the
-        // same time.
-        const std::string ip = "127.77." + std::to_string(getpid() / 250 % 250) + '.' + std::to_string(getpid() % 250 + 1);
+        ip_ = loopbackAddress("127.77.");
+        gateway_ = startGateway("entry-1", ip_);
+    }
+
+    /** Each test process uses its own loopback addresses, since the metrics port is fixed and several test processes may run at once. */
+    static std::string loopbackAddress(const std::string &network)
+    {
+        return network + std::to_string(getpid() / 250 % 250) + '.' + std::to_string(getpid() % 250 + 1);
+    }
+
+    std::unique_ptr<TestProcess> startGateway(const std::string &vm, const std::string &ip)
+    {
         const std::string store = "127.0.0.1:" + std::to_string(platform_.port("port"));
-        const std::string file = testing::TempDir() + "usersplatform-" + std::to_string(getpid()) + ".conf";
-        std::ofstream(file) << "node=entry-1\nzone=dc-1\nip=" << ip << "\nlisten.front=" << ip << ":0\nlisten.ready=" << ip
+        const std::string file = testing::TempDir() + "usersplatform-" + vm + '-' + std::to_string(getpid()) + ".conf";
+        std::ofstream(file) << "node=" << vm << "\nzone=dc-1\nip=" << ip << "\nlisten.front=" << ip << ":0\nlisten.ready=" << ip
                             << ":0\nplatform.address=" << store << "\ncloud.address=" << store
                             << "\ncloud.duties=usage_report\nbounds.revoke_ms=2000\nbounds.usage_window_s=1\nbounds.usage_late_s=4\nbounds."
                                "retry_budget_slack=50\n";
-        gateway_
-            = std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--platform"}, "CHESTNUTCOVE_BOOT", file);
-        ip_ = ip;
+        return std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--platform"}, "CHESTNUTCOVE_BOOT", file);
     }
 
     void putRow(const std::string &table, const std::string &key, const nlohmann::json &value)
@@ -55,7 +62,7 @@
         callAdmin("/admin/row", {{"table", table}, {"key", key}, {"value", value}});
     }
 
-    void putConfiguration(int version, const std::vector<std::string> &keys)
+    void putConfiguration(int version, const std::vector<std::string> &keys, int ratePerSecond = 1000, int burst = 1000)
     {
         const auto route = [](const char *prefix, bool anonymous) {
             return nlohmann::json{{"name", prefix},
@@ -74,7 +81,7 @@
                 {"routes", {route("/orders/", false), route("/open/", true)}},
                 {"services", {{{"name", "orders"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
                 {"limits", nlohmann::json::object()},
-                {"tenants", {{{"name", "desk"}, {"api_keys", keys}, {"rate_per_s", 1000}, {"burst", 1000}}}}});
+                {"tenants", {{{"name", "desk"}, {"api_keys", keys}, {"rate_per_s", ratePerSecond}, {"burst", burst}}}}});
     }
 
     nlohmann::json callAdmin(const std::string &path, const nlohmann::json &body = nlohmann::json::object())
@@ -87,10 +94,16 @@
     }
 
     TestResponse sendOrder(const std::string &path, const std::string &key, const std::string &body = "blue")
+    {
+        return sendOrderTo(*gateway_, ip_, path, key, body);
+    }
+
+    static TestResponse sendOrderTo(
+        TestProcess &gateway, const std::string &ip, const std::string &path, const std::string &key, const std::string &body = "blue")
     {
         TestRequest call;
         call.method = "POST";
-        call.url = "http://" + ip_ + ':' + std::to_string(gateway_->port("callers")) + path;
+        call.url = "http://" + ip + ':' + std::to_string(gateway.port("callers")) + path;
         call.body = body;
         call.headers = {{"Host", "shop.example"}, {"Attempt-Id", "a1"}, {"Deadline-Ms", "700"}, {"Tenant", "forged"}};
         if (!key.empty()) {
@@ -191,7 +204,7 @@
 protected:
     UsersPlatformEngineTest()
     {
-        for (const char *id : {"reader-1", "writer-1", "writer-2"}) {
+        for (const char *id : {"writer-1", "writer-2", "reader-1"}) {
             putRow("servers",
                    id,
                    {{"service", "model"},
@@ -238,6 +251,12 @@
         return sendRequest(call);
     }
 
+    /** The prefill engine registered last, so a gateway that uses it knows all engines. */
+    bool waitUntilAllEnginesAreKnown()
+    {
+        return waitUntil([&] { return sendPrompt().code == 200 && countCalls("POST", "Stage", 0) > 0; });
+    }
+
     /** Number of calls with this method and header (any header if empty) that the engines received after the first @p skipped calls. */
     std::size_t countCalls(const std::string &method, const std::string &header, std::size_t skipped)
     {
@@ -253,7 +272,7 @@
 
 TEST_F(UsersPlatformEngineTest, DecodeEngineRefusesPrefilledPrompt_RequestGoesToAnotherWithoutSecondPrefill)
 {
-    ASSERT_TRUE(waitUntil([&] { return sendPrompt().code == 200; }));
+    ASSERT_TRUE(waitUntilAllEnginesAreKnown());
     const auto before = callAdmin("/admin/state")["requests"].size();
     callAdmin("/admin/faults", {{"refusedRuns", 1}});
     EXPECT_EQ(sendPrompt().code, 200);
@@ -263,7 +282,7 @@
 
 TEST_F(UsersPlatformEngineTest, NoDecodeEngineAcceptsPrefilledPrompt_RequestIsRefusedAndKvCacheIsFreed)
 {
-    ASSERT_TRUE(waitUntil([&] { return sendPrompt().code == 200; }));
+    ASSERT_TRUE(waitUntilAllEnginesAreKnown());
     const auto before = callAdmin("/admin/state")["requests"].size();
     callAdmin("/admin/faults", {{"refusedRuns", 100}});
     EXPECT_EQ(sendPrompt().code, 503);
@@ -293,6 +312,61 @@
         << lastReports;
 }
 
+/** A second gateway, so that each holds half of a limit of 20 requests and 5 a second. */
+class UsersPlatformPairTest : public UsersPlatformTest
+{
+protected:
+    static constexpr int Rate = 5;
+    static constexpr int Burst = 20;
+
+    UsersPlatformPairTest()
+        : secondIp_(loopbackAddress("127.78."))
+        , second_(startGateway("entry-2", secondIp_))
+    {
+        putConfiguration(2, {"key-1"}, Rate, Burst);
+    }
+
+    int sendToSecond()
+    {
+        return sendOrderTo(*second_, secondIp_, "/orders/1", "key-1").code;
+    }
+
+    /** Sends more requests than the limit allows, for that time. @return the number of those that were served. */
+    template<typename Send>
+    static int countServed(std::chrono::milliseconds time, Send send)
+    {
+        int served = 0;
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            served += send() == 200 ? 1 : 0;
+        }
+        return served;
+    }
+
+    std::string secondIp_;
+    std::unique_ptr<TestProcess> second_;
+};
+
+TEST_F(UsersPlatformPairTest, AllRequestsAtOneGateway_Customer_GetsTheWholeLimitAndNoMore)
+{
+    ASSERT_TRUE(waitUntilServed("key-1"));
+    ASSERT_TRUE(waitUntil([&] { return sendToSecond() == 200; }));
+    // Until both hold shares of the limit; a division takes effect within two seconds of its last reader.
+    std::this_thread::sleep_for(6s);
+    const int served = countServed(4000ms, [&] { return sendOrder("/orders/1", "key-1").code; });
+    EXPECT_LE(served, Burst + Rate * 4 + 1);
+    EXPECT_GT(served, (Burst + Rate * 4) * 6 / 10);
+}
+
+TEST_F(UsersPlatformPairTest, HolderKilled_Requests_AreServedByTheOtherShare)
+{
+    ASSERT_TRUE(waitUntilServed("key-1"));
+    ASSERT_TRUE(waitUntil([&] { return sendToSecond() == 200; }));
+    std::this_thread::sleep_for(4s);
+    second_->sendSignal(SIGKILL);
+    EXPECT_GT(countServed(3000ms, [&] { return sendOrder("/orders/1", "key-1").code; }), Rate);
+}
+
 TEST_F(UsersPlatformTest, PlannedStop_GatewayExitsWithCodeZero)
 {
     ASSERT_TRUE(waitUntilServed("key-1"));
