StagePlanner: the work assumed before traffic no longer names an engine's speed

Cause, found by trials: before traffic the planner assumed 78 prompt tokens read and 250 moved a ms and engine.

Tried and reverted: learning the prefill rate. So the rate stays an assumption, and wrong on slow engines.

Change: the assumed work is a utilisation of prefill engines and of transfers, which engines of any speed share; on the fast sites the first plan is the same as before.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -119,11 +119,6 @@
     work_[service] += work;
 }
 
-void FleetCoordinator::recordPrefill(const std::string &service, double tokens, Duration duration)
-{
-    prefillRates_.try_emplace(service, PrefillRateOptions{}).first->second.record(tokens, duration);
-}
-
 void FleetCoordinator::tick(TimePoint now)
 {
     sharedRows_.tick(now);
@@ -232,11 +227,6 @@
     for (const auto &[service, work] : std::exchange(work_, {})) {
         status_.work[service] = work.scaled(1 / ms);
     }
-    for (const auto &[service, estimator] : prefillRates_) {
-        if (const auto rate = estimator.rate()) {
-            status_.prefillRates[service] = *rate;
-        }
-    }
     TableTransaction transaction;
     transaction.puts = {{StatusPrefix + settings_.vmName, status_.toText()}};
     table_.commit(transaction, [this](CommitOutcome outcome) {
@@ -282,8 +272,7 @@
     updateDivision(now);
     for (const auto &service : catalogue->services()) {
         if (service.engine) {
-            const auto rate = fleetPrefillRate(service.name, now);
-            stageOrders_.tick(service, directory_.nonDrainingEndpoints(service.name), fleetWork(service.name, now), rate, now);
+            stageOrders_.tick(service, directory_.nonDrainingEndpoints(service.name), fleetWork(service.name, now), now);
         }
     }
 }
@@ -300,17 +289,6 @@
     return hasNoTokens ? std::nullopt : std::optional(total);
 }
 
-std::optional<double> FleetCoordinator::fleetPrefillRate(const std::string &service, TimePoint now) const
-{
-    std::vector<double> rates;
-    for (const auto &[vm, status] : liveness_.liveGateways(now)) {
-        if (const auto it = status.prefillRates.find(service); it != status.prefillRates.end()) {
-            rates.push_back(it->second);
-        }
-    }
-    return medianRate(std::move(rates));
-}
-
 void FleetCoordinator::updateDivision(TimePoint now)
 {
     if (sharedRows_.isWritingDivision()) {
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -11,7 +11,6 @@
 #include "httptable.h"
 #include "operationsapi.h"
 #include "platformsettings.h"
-#include "prefillrateestimator.h"
 #include "quotaadmission.h"
 #include "quotadivider.h"
 #include "sharedrows.h"
@@ -50,9 +49,6 @@
     /** Adds to the work of the service that this gateway's next status reports. */
     void recordWork(const std::string &service, const EngineWork &work);
 
-    /** Learns from a prefill call to an engine that had nothing else to do. @param tokens that the engine had to prefill. */
-    void recordPrefill(const std::string &service, double tokens, Duration duration);
-
     /** To be called several times a second. */
     void tick(TimePoint now);
     /** Releases the lease for a planned stop, while requests are still handled. */
@@ -86,8 +82,6 @@
     bool isUsageStoredByAll(WindowNumber window) const;
     /** Work of a service over all live gateways; empty if it contains no prompt tokens. */
     std::optional<EngineWork> fleetWork(const std::string &service, TimePoint now) const;
-    /** How fast the service's engines prefill, as the live gateways have learned it; empty while none has. */
-    std::optional<double> fleetPrefillRate(const std::string &service, TimePoint now) const;
 
     const Platform::PlatformSettings &settings_;
     PlatformTable &table_;
@@ -109,8 +103,6 @@
     GatewayStatus status_;
     /** Work since the last status by service: tokens and, in busySlots, milliseconds of busy slots. */
     std::map<std::string, EngineWork> work_;
-    /** By service. */
-    std::map<std::string, PrefillRateEstimator> prefillRates_;
     CoordinationIntervals intervals_;
     TimePoint statusWrittenAt_{};
     TimePoint nextLeaseReadAt_{};
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -179,7 +179,6 @@
     call_->startedAt = suspendAwareNow();
     call_->promptWork = {uncachedTokens, placement_.isLate, call_->startedAt};
     lastEndpointId_ = endpoint.id;
-    call_->wasEndpointIdle = context_.loads.isIdle(endpoint.id, call_->startedAt);
     context_.loads.onCallStarted(endpoint.id, call_->promptWork);
     facts.customer = request_.customer;
     if (work == CallWork::Run && request_.service->engine && placement_.hasShortAnswer) {
@@ -351,11 +350,7 @@
     if (outcome == AttemptOutcome::Succeeded) {
         const auto handle = Platform::decodePrefillHandle(call.body);
         if (handle.ok()) {
-            const Duration duration = suspendAwareNow() - call.startedAt;
-            context_.metrics.distribution("prefill_seconds").add(toSeconds(duration));
-            if (call.wasEndpointIdle) {
-                context_.fleet.recordPrefill(request_.service->name, static_cast<double>(call.promptWork.tokens), duration);
-            }
+            context_.metrics.distribution("prefill_seconds").add(toSeconds(suspendAwareNow() - call.startedAt));
             context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
             context_.placement.recordPrefill(call.endpoint.id, request_.facts.promptParts, call.promptWork.tokens);
             heldPrompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -23,8 +23,6 @@
     EndpointRecord endpoint;
     CallWork work = CallWork::Run;
     PromptWork promptWork;
-    /** As far as this gateway knew, the endpoint had nothing else to do when the call was sent. */
-    bool wasEndpointIdle = false;
     /** The prompt that a run takes over from a prefill engine. */
     std::optional<Platform::PrefilledPrompt> prefilled;
     TimePoint startedAt;
--- a/src/chestnutcove/stageorders.cpp
+++ b/src/chestnutcove/stageorders.cpp
@@ -41,7 +41,6 @@
 void StageOrders::tick(const RoutedService &service,
                        const std::vector<EndpointRecord> &engines,
                        const std::optional<EngineWork> &work,
-                       const std::optional<double> &prefillRate,
                        TimePoint now)
 {
     std::erase_if(pendingChanges_, [now](const auto &item) { return now >= item.second.expiresAt; });
@@ -59,9 +58,6 @@
         planned.push_back(std::move(engine));
     }
     StagePlanner &planner = planners_.try_emplace(service.name, StagePlannerOptions{}).first->second;
-    if (prefillRate) {
-        planner.setPrefillRate(*prefillRate);
-    }
     for (const auto &change : planner.plan(planned, changingEngines, *service.engine, work, now)) {
         if (pendingChanges_.contains(change.engine.id)) {
             continue;
@@ -70,7 +66,6 @@
                   {{"endpoint", change.engine.id},
                    {"stage", std::string(nameOf(EngineStageNames, change.stage))},
                    {"engines", std::to_string(planned.size())},
-                   {"prefillTokensPerMs", prefillRate ? std::to_string(*prefillRate) : "assumed"},
                    {"readTokensPerMs", work ? std::to_string(work->prefilledTokens) : "assumed"},
                    {"movedTokensPerMs", work ? std::to_string(work->transferredTokens) : "assumed"},
                    {"wholeTokensPerMs", work ? std::to_string(work->decodePrefilledTokens) : "assumed"},
--- a/src/chestnutcove/stageorders.h
+++ b/src/chestnutcove/stageorders.h
@@ -34,16 +34,9 @@
     /** Decodes the announcement row. @return the announced stages by endpoint id. */
     static absl::StatusOr<std::map<std::string, EngineStage>> parseAnnouncement(const std::string &text);
 
-    /**
-     * Plans, announces and orders the changes of one service.
-     * @param work over all gateways; empty without traffic.
-     * @param prefillRate tokens per millisecond that an engine prefills; empty until it is known.
-     */
-    void tick(const RoutedService &service,
-              const std::vector<EndpointRecord> &engines,
-              const std::optional<EngineWork> &work,
-              const std::optional<double> &prefillRate,
-              TimePoint now);
+    /** Plans, announces and orders the changes of one service. @param work over all gateways; empty without traffic. */
+    void
+    tick(const RoutedService &service, const std::vector<EndpointRecord> &engines, const std::optional<EngineWork> &work, TimePoint now);
     /** Sends the orders that were announced long enough ago. To be called several times a second. */
     void sendDueOrders(TimePoint now);
 
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -102,11 +102,6 @@
     return now < loadOf(endpoint).avoidUntil;
 }
 
-bool EndpointLoads::isIdle(const std::string &endpoint, TimePoint now) const
-{
-    return loadOf(endpoint).calls <= 0 && otherGatewayRequests(endpoint, now) <= 0;
-}
-
 double EndpointLoads::otherGatewayRequests(const std::string &endpoint, TimePoint now) const
 {
     const Load &load = loadOf(endpoint);
--- a/src/libserving/endpointloads.h
+++ b/src/libserving/endpointloads.h
@@ -66,8 +66,6 @@
 
     const Load &loadOf(const std::string &endpoint) const;
     bool isAvoided(const std::string &endpoint, TimePoint now) const;
-    /** Whether the endpoint has no request that this gateway knows of. */
-    bool isIdle(const std::string &endpoint, TimePoint now) const;
     /** Estimated requests of other gateways at the endpoint. Decays from the last reported value to 0 as the report ages. */
     double otherGatewayRequests(const std::string &endpoint, TimePoint now) const;
     /**
--- a/src/libserving/gatewaystatus.cpp
+++ b/src/libserving/gatewaystatus.cpp
@@ -35,7 +35,6 @@
                           {"address", address},
                           {"leaving", isLeaving},
                           {"work", std::move(services)},
-                          {"prefillRates", prefillRates},
                           {"usageStoredThrough", usageStoredThrough},
                           {"divisionSeen", divisionSeen}}
         .dump();
@@ -52,7 +51,6 @@
         json.at("leaving").get_to(status.isLeaving);
         json.at("usageStoredThrough").get_to(status.usageStoredThrough);
         json.at("divisionSeen").get_to(status.divisionSeen);
-        json.at("prefillRates").get_to(status.prefillRates);
         for (const auto &[service, each] : json.at("work").items()) {
             status.work[service] = workOf(each);
         }
--- a/src/libserving/gatewaystatus.h
+++ b/src/libserving/gatewaystatus.h
@@ -26,8 +26,6 @@
     bool isLeaving = false;
     /** By service. */
     std::map<std::string, EngineWork> work;
-    /** How fast engines prefill, in tokens per millisecond, by service; for services where the gateway has learned it. */
-    std::map<std::string, double> prefillRates;
     /** The last usage window of which all figures are stored. */
     std::uint64_t usageStoredThrough = 0;
     /** The row has not changed for some time; the gateway is taken to handle no requests. Not stored. */
--- a/src/libserving/stageplanner.cpp
+++ b/src/libserving/stageplanner.cpp
@@ -11,6 +11,7 @@
 constexpr double BitsPerByte = 8;
 /** Bits per millisecond of a link of 1 Mbit/s. */
 constexpr double BitsPerMillisecond = 1000;
+constexpr double MinTransferMsPerToken = 1e-9;
 
 /** Selects an engine of stage @p from to reassign, in the data centre with the largest surplus of that stage over the other one. */
 std::vector<EndpointRecord>::const_iterator selectEngine(const std::vector<EndpointRecord> &engines, EngineStage from)
@@ -52,20 +53,28 @@
 {
 }
 
-void StagePlanner::setPrefillRate(double tokensPerMs)
+double StagePlanner::transferMsPerToken(const EngineTraits &traits) const
 {
-    options_.prefillTokensPerMs = tokensPerMs;
+    const double linkBitsPerMs = std::max(1.0, traits.linkMegabitsPerSecond) * BitsPerMillisecond;
+    return static_cast<double>(traits.kvBytesPerToken) * BitsPerByte / linkBitsPerMs * options_.transferOverhead;
+}
+
+EngineWork StagePlanner::assumedWork(std::size_t engines, const EngineTraits &traits) const
+{
+    EngineWork work;
+    work.prefilledTokens = options_.assumedPrefillUtilisation * options_.prefillTokensPerMs;
+    work.transferredTokens = options_.assumedTransferUtilisation / std::max(transferMsPerToken(traits), MinTransferMsPerToken);
+    work.busySlots = options_.assumedBusySlots;
+    return work.scaled(static_cast<double>(engines));
 }
 
 double
 StagePlanner::relativeUtilisation(unsigned prefillEngines, unsigned decodeEngines, const EngineTraits &traits, const EngineWork &work) const
 {
-    const double linkBitsPerMs = std::max(1.0, traits.linkMegabitsPerSecond) * BitsPerMillisecond;
-    const double transferMsPerToken = static_cast<double>(traits.kvBytesPerToken) * BitsPerByte / linkBitsPerMs * options_.transferOverhead;
     const double prefillLoad = work.prefilledTokens / options_.prefillTokensPerMs;
     // A decode engine prefills at half the speed of a prefill engine.
-    const double decodeLoad = work.transferredTokens * transferMsPerToken + work.decodePrefilledTokens * 2 / options_.prefillTokensPerMs
-        + work.busySlots / traits.slots;
+    const double decodeLoad = work.transferredTokens * transferMsPerToken(traits)
+        + work.decodePrefilledTokens * 2 / options_.prefillTokensPerMs + work.busySlots / traits.slots;
     return std::max(prefillLoad / prefillEngines / options_.targetPrefillUtilisation,
                     decodeLoad / decodeEngines / options_.targetDecodeUtilisation);
 }
@@ -86,12 +95,12 @@
     return best;
 }
 
-void StagePlanner::updateAverage(const std::optional<EngineWork> &work, std::size_t engines, TimePoint now)
+void StagePlanner::updateAverage(const std::optional<EngineWork> &work, std::size_t engines, const EngineTraits &traits, TimePoint now)
 {
     if (!work) {
         if (!workSince_) {
             startedIdle_ = true;
-            averageWork_ = options_.assumedWork.scaled(static_cast<double>(engines));
+            averageWork_ = assumedWork(engines, traits);
             averagedAt_ = now;
         }
         return;
@@ -115,7 +124,7 @@
                                             const std::optional<EngineWork> &work,
                                             TimePoint now)
 {
-    updateAverage(work, engines.size(), now);
+    updateAverage(work, engines.size(), traits, now);
     std::vector<StageChange> changes;
     const auto count = static_cast<unsigned>(engines.size());
     if (std::exchange(engineCount_, engines.size()) != engines.size()) {
--- a/src/libserving/stageplanner.h
+++ b/src/libserving/stageplanner.h
@@ -34,19 +34,21 @@
 
 struct StagePlannerOptions
 {
-    /** Prefill throughput of an engine until it is learned (see setPrefillRate()). */
-    double prefillTokensPerMs = 270;
+    /** Prefill throughput of an engine alongside its other work. */
+    double prefillTokensPerMs = 320;
     /** Factor on the time of a KV cache transfer at link speed, since transfers between data centres take longer. */
     double transferOverhead = 1.7;
     /** Mean utilisation of prefill engines up to which prompts hardly wait for each other; the remainder is headroom for bursts. */
-    double targetPrefillUtilisation = 0.5;
+    double targetPrefillUtilisation = 0.42;
     /** Utilisation of decode engines up to which requests find a free slot. */
     double targetDecodeUtilisation = 0.95;
     /**
-     * Workload per engine that is assumed before any traffic: long prompts of which two thirds are cached, with short answers, and a few
-     * long answers.
+     * Workload per engine that is assumed before any traffic, as utilisations, since nothing is known of the engines' speed then: long
+     * prompts with short answers, and a few long answers.
      */
-    EngineWork assumedWork{78, 250, 0, 4.4};
+    double assumedPrefillUtilisation = 0.24;
+    double assumedTransferUtilisation = 0.08;
+    double assumedBusySlots = 4.4;
     /** Requests in progress count up to this multiple of the decode engines' slots; those beyond it only queue. */
     double maxSlotUtilisation = 1.2;
     /** Factor by which a reassignment must lower the higher utilisation once there is traffic that it interrupts. */
@@ -81,9 +83,6 @@
     /** The number of engines out of @p engines that should prefill. Each stage gets at least one if there are two or more engines. */
     unsigned optimalPrefillEngines(unsigned engines, const EngineTraits &traits, const EngineWork &work) const;
 
-    /** Sets the prefill throughput of an engine as the fleet has learned it, in tokens per millisecond. */
-    void setPrefillRate(double tokensPerMs);
-
     /**
      * The stage changes to order now.
      * @param engines those that accept requests; an engine whose change is in progress is listed with its new stage.
@@ -99,7 +98,11 @@
 private:
     /** The higher of both stages' utilisations, each relative to its target. */
     double relativeUtilisation(unsigned prefillEngines, unsigned decodeEngines, const EngineTraits &traits, const EngineWork &work) const;
-    void updateAverage(const std::optional<EngineWork> &work, std::size_t engines, TimePoint now);
+    void updateAverage(const std::optional<EngineWork> &work, std::size_t engines, const EngineTraits &traits, TimePoint now);
+    /** The workload that is assumed for that many engines. */
+    EngineWork assumedWork(std::size_t engines, const EngineTraits &traits) const;
+    /** Time that an engine needs to fetch a token's KV cache. */
+    double transferMsPerToken(const EngineTraits &traits) const;
 
     StagePlannerOptions options_;
     /** Number of engines at the last call of plan(), and since when it has been constant. */
--- a/tests/serving/stageplanner_test.cpp
+++ b/tests/serving/stageplanner_test.cpp
@@ -91,6 +91,26 @@
     EXPECT_LE(prefillEngines(), 7U);
 }
 
+/** Pattern: engines that prefill a seventh as fast, with slower links and more slots; before traffic nothing of this is known. */
+TEST_F(StagePlannerTest, SlowEngines_BeforeTraffic_MostOfThemPrefillTheSame)
+{
+    EngineTraits slow = traits();
+    slow.slots = 64;
+    slow.kvBytesPerToken = 18432;
+    slow.linkMegabitsPerSecond = 200000;
+    addEngines(18, 6);
+    for (int i = 0; i < 4; ++i) {
+        now_ += 1s;
+        for (const auto &change : planner_.plan(engines_, 0, slow, std::nullopt, now_)) {
+            const auto engine
+                = std::find_if(engines_.begin(), engines_.end(), [&](const auto &each) { return each.id == change.engine.id; });
+            engine->stage = change.stage;
+        }
+    }
+    EXPECT_GE(prefillEngines(), 13U);
+    EXPECT_LE(prefillEngines(), 16U);
+}
+
 TEST_F(StagePlannerTest, EnginesDiscoveredOneByOne_BeforeTraffic_PlanCoversAllOfThem)
 {
     addEngines(4, 2);
