--- a/src/chestnutcove/sharedrows.cpp
+++ b/src/chestnutcove/sharedrows.cpp
@@ -13,8 +13,8 @@
 constexpr const char *SharedTable = "chestnutcove-shared";
 constexpr const char *DivisionKey = "quota/division";
 constexpr const char *LinkKeysKey = "links/keys";
-/** Shares may be spent for QuotaShareOptions::maxAge after the last confirmation, which is well above this. */
-constexpr Milliseconds LongPollTimeout{5000};
+/** Leaves time to confirm the division anew within QuotaShareOptions::maxAge if a poll is not answered. */
+constexpr Milliseconds LongPollTimeout{3000};
 constexpr Milliseconds KeyWriteInterval{700};
 
 TableMirrorOptions mirrorOptions()
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -26,9 +26,9 @@
 struct QuotaShareOptions
 {
     /** A gateway stops spending its shares if it has not confirmed its copy of the division for this long. */
-    Duration maxAge = std::chrono::milliseconds(7500);
+    Duration maxAge = std::chrono::milliseconds(4300);
     /** Time after the first read of a division at which it is settled in any case; must exceed maxAge. */
-    Duration settleTime = std::chrono::milliseconds(8700);
+    Duration settleTime = std::chrono::milliseconds(5500);
     /** Time within which the units of a grant that was not spent are taken back. */
     Duration grantLifetime = std::chrono::seconds(2);
     /** Units that all VMs together may spend beyond rate and burst; compensates for the loss from dividing a burst between VMs. */
