ForwardedRequest: log how an answer was framed and what was left of it

An incident in which a truncated stream reached its caller as complete can't be traced from the logs: they don't tell an answer that ends with its connection from one with a length or chunks, nor whether bytes of an unfinished event were left when it ended. 'request done' and 'call failed' now state both (endsWith, unforwardedBytes). MessageParser names the framing in place of a flag.

No behaviour of the gateway changes. proxy tests pass; process tests of the users' platform were built and run.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -248,6 +248,7 @@
 {
     call_->head = head;
     call_->answer = Platform::decodeResponse(head);
+    call_->framing = call_->connection->responseFraming();
     if (call_->answer.load) {
         context_.loads.onLoadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
     }
@@ -322,6 +323,8 @@
                        {"work", call.work == CallWork::Prefill ? "prefill" : "run"},
                        {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))},
                        {"status", call.head ? std::to_string(call.head->status) : "none"},
+                       {"endsWith", call.head ? std::string(nameOf(BodyFramingNames, call.framing)) : "none"},
+                       {"unforwardedBytes", std::to_string(call.body.size())},
                        {"ms", std::to_string(lasted.count())},
                        {"ownCalls", std::to_string(load.calls)},
                        {"reportedRunning", std::to_string(load.reported.running)},
@@ -372,6 +375,8 @@
 
 void ForwardedRequest::onRunEnd(OutgoingCall call, AttemptOutcome outcome)
 {
+    answerFraming_ = call.framing;
+    unforwardedBytes_ = call.body.size();
     if (exchange_->hasBegun()) {
         if (outcome == AttemptOutcome::Succeeded) {
             exchange_->sendBody(call.body);
@@ -540,6 +545,8 @@
                        {"catalogueVersion", std::to_string(request_.catalogue->version())},
                        {"status", std::to_string(status)},
                        {"outcome", std::string(outcome)},
+                       {"endsWith", std::string(nameOf(BodyFramingNames, answerFraming_))},
+                       {"unforwardedBytes", std::to_string(unforwardedBytes_)},
                        {"ms", std::to_string(static_cast<int>(seconds * 1000))}});
 }
 
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -104,6 +104,9 @@
     bool hasRunBegun_ = false;
     bool isDone_ = false;
     std::string lastEndpointId_;
+    /** Of the last answer that an endpoint gave, for the log: how it was framed, and how many bytes were left when it ended. */
+    BodyFraming answerFraming_ = BodyFraming::Length;
+    std::size_t unforwardedBytes_ = 0;
 };
 
 }
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -30,6 +30,9 @@
     /** The answer's head, once it has arrived. */
     std::optional<ResponseHead> head;
     Platform::ResponseMetadata answer;
+    /** Valid once the head has arrived. */
+    BodyFraming framing = BodyFraming::Length;
+    /** Bytes of the answer that were not forwarded yet; of a stream, the beginning of an event. */
     std::string body;
 
     /** Whether the answer's head has arrived and reports success. */
--- a/src/libproxy/endpointconnection.cpp
+++ b/src/libproxy/endpointconnection.cpp
@@ -166,7 +166,7 @@
     if (const auto timeout = keepAliveTimeoutOf(head.fields)) {
         keepAliveTimeout_ = timeout;
     }
-    call_.onHead(head, parser_.isDelimited() ? parser_.contentLength() : std::nullopt);
+    call_.onHead(head, parser_.contentLength());
 }
 
 void EndpointConnection::finish(CallOutcome outcome)
--- a/src/libproxy/endpointconnection.h
+++ b/src/libproxy/endpointconnection.h
@@ -52,6 +52,8 @@
     TimePoint idleSince() const;
     /** How long the endpoint keeps an idle connection open, according to its last Keep-Alive field. */
     std::optional<Milliseconds> keepAliveTimeout() const;
+    /** What marks the end of the response whose head was received last. */
+    BodyFraming responseFraming() const;
     void pauseReading();
     void resumeReading();
 
@@ -85,4 +87,9 @@
     return keepAliveTimeout_;
 }
 
+inline BodyFraming EndpointConnection::responseFraming() const
+{
+    return parser_.framing();
+}
+
 }
--- a/src/libproxy/messageparser.cpp
+++ b/src/libproxy/messageparser.cpp
@@ -34,7 +34,7 @@
     headBytes_ = 0;
     withoutBody_ = withoutBody;
     lastWasValue_ = false;
-    delimited_ = true;
+    framing_ = BodyFraming::Length;
     keepsAlive_ = false;
     contentLength_.reset();
 }
@@ -132,8 +132,14 @@
     }
     const int status = message.response_.status;
     const bool neverHasBody = status < FirstFinalStatus || status == NoContent || status == NotModified;
-    message.delimited_ = message.type_ == Type::Request || message.withoutBody_ || neverHasBody || chunked || hasLength;
-    message.keepsAlive_ = message.delimited_ && http_should_keep_alive(parser) != 0;
+    const bool endsWithHead = message.withoutBody_ || neverHasBody;
+    const bool mayEndWithConnection = message.type_ == Type::Response && !endsWithHead && !hasLength;
+    if (chunked && !endsWithHead) {
+        message.framing_ = BodyFraming::Chunks;
+    } else if (mayEndWithConnection) {
+        message.framing_ = BodyFraming::Connection;
+    }
+    message.keepsAlive_ = message.framing_ != BodyFraming::Connection && http_should_keep_alive(parser) != 0;
     if (message.handlers_.onHead) {
         message.handlers_.onHead();
     }
--- a/src/libproxy/messageparser.h
+++ b/src/libproxy/messageparser.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "message.h"
+#include "nametable.h"
 
 #include <http_parser.h>
 
@@ -15,6 +16,21 @@
 
 namespace Chestnutcove {
 
+/** What marks the end of a message's body. */
+enum class BodyFraming {
+    /** The head: it states the length, or that there is no body. */
+    Length,
+    Chunks,
+    /** The end of the connection. */
+    Connection,
+};
+
+inline constexpr NameTable<BodyFraming, 3> BodyFramingNames{{
+    {BodyFraming::Length, "length"},
+    {BodyFraming::Chunks, "chunks"},
+    {BodyFraming::Connection, "connection"},
+}};
+
 class MessageParser
 {
 public:
@@ -53,8 +69,7 @@
     /** The head of a request; complete once the state is past Head. */
     const RequestHead &request() const;
     const ResponseHead &response() const;
-    /** The message's end is known from its head or its chunks; otherwise the message ends with the connection. */
-    bool isDelimited() const;
+    BodyFraming framing() const;
     /** The body's length as stated by the head, or nothing. */
     std::optional<std::uint64_t> contentLength() const;
     bool keepsAlive() const;
@@ -85,7 +100,7 @@
     std::size_t headBytes_ = 0;
     bool withoutBody_ = false;
     bool lastWasValue_ = false;
-    bool delimited_ = true;
+    BodyFraming framing_ = BodyFraming::Length;
     bool keepsAlive_ = false;
     std::optional<std::uint64_t> contentLength_;
 };
@@ -105,9 +120,9 @@
     return response_;
 }
 
-inline bool MessageParser::isDelimited() const
+inline BodyFraming MessageParser::framing() const
 {
-    return delimited_;
+    return framing_;
 }
 
 inline std::optional<std::uint64_t> MessageParser::contentLength() const
