--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -2,8 +2,12 @@
  * Runs the real gateway against a stand-in of the users' platform: complete requests, keys, a store outage, a suspended process, usage
  * reports and a planned stop.
  */
+#include "scriptedendpoint.h"
 #include "testprocess.h"
 
+#include <absl/strings/str_format.h>
+#include <asio/dispatch.hpp>
+#include <asio/executor_work_guard.hpp>
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -289,6 +293,105 @@
     EXPECT_TRUE(waitUntil([&] { return countCalls("DELETE", "", before) > 0; }));
 }
 
+/** A streaming route whose endpoint sends exact bytes. */
+class UsersPlatformStreamTest : public UsersPlatformTest
+{
+protected:
+    UsersPlatformStreamTest()
+    {
+        endpointThread_ = std::jthread([this] { endpointContext_.run(); });
+        putRow("servers",
+               "streamer-1",
+               {{"service", "stories"},
+                {"address", endpoint_.record().address.text()},
+                {"zone", "dc-1"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"seq", 1}});
+        putRow("op",
+               "config",
+               {{"version", 2},
+                {"routes",
+                 {{{"name", "tell"},
+                   {"host", "shop.example"},
+                   {"path_prefix", "/tell/"},
+                   {"kind", "streaming"},
+                   {"timeout_ms", 800},
+                   {"target_latency_ms", 150},
+                   {"service", "stories"},
+                   {"max_attempts", 1},
+                   {"anonymous", true}}}},
+                {"services", {{{"name", "stories"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
+                {"limits", nlohmann::json::object()}});
+    }
+
+    ~UsersPlatformStreamTest() override
+    {
+        endpointContext_.stop();
+    }
+
+    /** The answer to a request whose endpoint sends this body in the given framing. */
+    TestResponse streamOf(const std::string &framing, const std::string &body, Script::AfterResponse afterResponse)
+    {
+        const std::string head
+            = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: signed\r\nContent-Type: text/event-stream\r\n" + framing;
+        asio::dispatch(endpointContext_, [this, head, body, afterResponse] {
+            endpoint_.lastScript = {head + "\r\n" + body, afterResponse};
+        });
+        waitUntil([&] {
+            answer_ = send();
+            return answer_.code != 404 && answer_.code != 503;
+        });
+        return answer_;
+    }
+
+    TestResponse send()
+    {
+        TestRequest call;
+        call.method = "POST";
+        call.url = "http://" + ip_ + ':' + std::to_string(gateway_->port("callers")) + "/tell/1";
+        call.body = "blue";
+        call.headers = {{"Host", "shop.example"}, {"Attempt-Id", "a1"}, {"Deadline-Ms", "700"}};
+        call.timeoutMs = 3000;
+        return sendRequest(call);
+    }
+
+    static std::string chunked(const std::string &body)
+    {
+        return absl::StrFormat("%x\r\n%s\r\n0\r\n\r\n", body.size(), body);
+    }
+
+    asio::io_context endpointContext_;
+    asio::executor_work_guard<asio::io_context::executor_type> endpointWork_ = asio::make_work_guard(endpointContext_);
+    ScriptedEndpoint endpoint_{endpointContext_};
+    std::jthread endpointThread_;
+    TestResponse answer_;
+};
+
+// Guards against a stream that was broken off inside an event and reached its caller as complete.
+TEST_F(UsersPlatformStreamTest, StreamWithoutFramingClosesInsideEvent_Caller_GetsNoCompleteAnswer)
+{
+    EXPECT_EQ(streamOf("", "id: 1\ndata: a\n\nid: 2\ndat", Script::AfterResponse::Close).code, 0);
+}
+
+// Guards against the same where the stream breaks off before its first event is whole, and in an answer that is formally complete.
+TEST_F(UsersPlatformStreamTest, StreamEndsInsideFirstEvent_AnyFraming_CallerGetsFailure)
+{
+    const std::string body = "id: 1\ndat";
+    EXPECT_EQ(streamOf("", body, Script::AfterResponse::Close).code, 502);
+    EXPECT_EQ(streamOf("Content-Length: " + std::to_string(body.size()) + "\r\n", body, Script::AfterResponse::KeepOpen).code, 502);
+    EXPECT_EQ(streamOf("Transfer-Encoding: chunked\r\n", chunked(body), Script::AfterResponse::KeepOpen).code, 502);
+}
+
+// Guards against whole streams being taken for broken ones because of their framing or their line ends.
+TEST_F(UsersPlatformStreamTest, StreamEndsAfterEvent_AnyFraming_CallerGetsAllOfIt)
+{
+    for (const std::string body : {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"}) {
+        EXPECT_EQ(streamOf("", body, Script::AfterResponse::Close).body, body);
+        EXPECT_EQ(streamOf("Transfer-Encoding: chunked\r\n", chunked(body), Script::AfterResponse::KeepOpen).body, body);
+    }
+}
+
 TEST_F(UsersPlatformTest, RequestsServed_UsageIsReportedOncePerWindow)
 {
     ASSERT_TRUE(waitUntilServed("key-1"));
