ForwardedRequest: a stream that ends inside an event is broken off, whatever its framing says

What callers saw: a stream that an engine broke off reached its caller as a complete answer with the engine's signature and a short body.

Cause: the end of the message was taken for the end of its content. A response without a length and without chunks ends with its connection, and a crashing engine may close that in an orderly way; the parser then rightly reports the message as complete. The gateway sent what was left of the unfinished event and its own last chunk. Class of fault: framing trusted as proof of wholeness.

Ruled out: a reset taken for an orderly end (EndpointCallsTest.ResponseWithoutLength_ConnectionEnds_IsCompleteOnlyAfterOrderlyClose passes on the old code).

Change: event boundaries are found in one place (eventstream, also for CRLF and CR); an event stream whose remainder holds part of an event counts as broken: a begun answer is aborted, one that has not begun becomes 502. It works because the decision no longer depends on how the message ended. Answers with another content type are left alone.

Looked for elsewhere: prefill handles, reports and store answers are JSON, which a cut makes unreadable; the product's own interface waits for [DONE]. A plain answer without a length that ends early can't be told from a whole one.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -1,7 +1,9 @@
 #include "forwardedrequest.h"
 
+#include "eventstream.h"
 #include "rendezvous.h"
 #include "suspendclock.h"
+#include "text.h"
 
 #include <algorithm>
 #include <utility>
@@ -30,7 +32,13 @@
 constexpr unsigned MaxPrefillCalls = 2;
 /** Maximum number of runs with one held prompt. Then it is prefilled again, since its KV cache may be gone from the prefill engine. */
 constexpr unsigned MaxHeldPromptRuns = 2;
-constexpr std::string_view EventTerminator = "\n\n";
+
+/** Whether the response states no other content type than that of an event stream. */
+bool mayBeEventStream(const ResponseHead &head)
+{
+    const HeaderField *type = findField(head.fields, "Content-Type");
+    return type == nullptr || lowerCase(trimmed(type->value)).starts_with("text/event-stream");
+}
 
 }
 
@@ -249,6 +257,7 @@
     call_->head = head;
     call_->answer = Platform::decodeResponse(head);
     call_->framing = call_->connection->responseFraming();
+    call_->isEventStream = isStreaming() && call_->work == CallWork::Run && mayBeEventStream(head);
     if (call_->answer.load) {
         context_.loads.onLoadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
     }
@@ -265,7 +274,7 @@
 {
     call_->body.append(bytes);
     const bool mayForward = call_->work == CallWork::Run && call_->isSuccess() && call_->answer.isSigned;
-    if (mayForward && (isStreaming() || exchange_->hasBegun() || call_->body.size() > MaxBufferedAnswerBytes)) {
+    if (mayForward && (call_->isEventStream || exchange_->hasBegun() || call_->body.size() > MaxBufferedAnswerBytes)) {
         forwardBody();
     }
 }
@@ -274,9 +283,8 @@
 {
     // Only complete events are forwarded, so that a broken stream never ends inside an event.
     std::size_t size = call_->body.size();
-    if (isStreaming()) {
-        const auto end = call_->body.rfind(EventTerminator);
-        size = end == std::string::npos ? 0 : end + EventTerminator.size();
+    if (call_->isEventStream) {
+        size = wholeEventsSize(call_->body);
     }
     if (size == 0) {
         return;
--- a/src/chestnutcove/outgoingcall.cpp
+++ b/src/chestnutcove/outgoingcall.cpp
@@ -1,5 +1,7 @@
 #include "outgoingcall.h"
 
+#include "eventstream.h"
+
 namespace Chestnutcove {
 
 namespace {
@@ -33,6 +35,10 @@
     if (!isSuccess()) {
         return AttemptOutcome::Failed;
     }
+    // The end of a message doesn't prove that its content is whole: an endpoint that crashes may end its connection in an orderly way.
+    if (isEventStream && endsInsideEvent(body)) {
+        return AttemptOutcome::Broken;
+    }
     const bool isTrusted = answer.isSigned || work == CallWork::Prefill;
     return isTrusted ? AttemptOutcome::Succeeded : AttemptOutcome::Broken;
 }
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -32,8 +32,10 @@
     Platform::ResponseMetadata answer;
     /** Valid once the head has arrived. */
     BodyFraming framing = BodyFraming::Length;
-    /** Bytes of the answer that were not forwarded yet; of a stream, the beginning of an event. */
+    /** Bytes of the answer that were not forwarded yet; of an event stream, the beginning of an event. */
     std::string body;
+    /** The answer is forwarded event by event. */
+    bool isEventStream = false;
 
     /** Whether the answer's head has arrived and reports success. */
     bool isSuccess() const;
