--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -2,6 +2,7 @@
  * Runs the real gateway against a stand-in of the users' platform: complete requests, keys, a store outage, a suspended process, usage
  * reports and a planned stop.
  */
+#include "crashingengine.h"
 #include "scriptedendpoint.h"
 #include "testprocess.h"
 
@@ -470,6 +471,119 @@
     EXPECT_GT(countServed(3000ms, [&] { return sendOrder("/orders/1", "key-1").code; }), Rate);
 }
 
+/** Two gateways before engines that end when they begin to answer a prompt with one certain part. */
+class UsersPlatformCrashTest : public UsersPlatformTest
+{
+protected:
+    static constexpr const char *DeadlyPart = "dead";
+    static constexpr std::chrono::milliseconds RestartTime{300};
+    /** Within this time after the fifth crash all gateways must know the part (contact_ms by default). */
+    static constexpr std::chrono::milliseconds ReportTime{3000};
+
+    UsersPlatformCrashTest()
+        : secondIp_(loopbackAddress("127.78."))
+        , second_(startGateway("entry-2", secondIp_))
+    {
+        for (int i = 0; i < 3; ++i) {
+            engines_.push_back(std::make_unique<CrashingEngine>(context_, DeadlyPart, RestartTime));
+            putRow("servers",
+                   "engine-" + std::to_string(i),
+                   {{"service", "model"},
+                    {"address", engines_.back()->address().text()},
+                    {"zone", "dc-1"},
+                    {"slots", 8},
+                    {"state", "ready"},
+                    {"stage", "decode"},
+                    {"seq", 1}});
+        }
+        putRow("op",
+               "config",
+               {{"version", 2},
+                {"routes",
+                 {{{"name", "ask"},
+                   {"host", "shop.example"},
+                   {"path_prefix", "/ask/"},
+                   {"kind", "streaming"},
+                   {"timeout_ms", 800},
+                   {"target_latency_ms", 150},
+                   {"service", "model"},
+                   {"max_attempts", 2},
+                   {"anonymous", true}}}},
+                {"services",
+                 {{{"name", "model"},
+                   {"health_path", "/healthz"},
+                   {"max_connections", 50},
+                   {"engine", {{"slots", 8}, {"kv_capacity", 100000}, {"kv_token_bytes", 1000}, {"link_mbps", 1000.0}}}}}},
+                {"limits", nlohmann::json::object()}});
+        thread_ = std::jthread([this] { context_.run(); });
+    }
+
+    ~UsersPlatformCrashTest() override
+    {
+        context_.stop();
+    }
+
+    /** Sends a prompt of a shared beginning, the given part and one of its own, to one gateway after the other. */
+    int sendPrompt(const std::string &part)
+    {
+        const bool toSecond = ++sent_ % 2 == 0;
+        TestRequest call;
+        call.method = "POST";
+        call.url
+            = "http://" + (toSecond ? secondIp_ : ip_) + ':' + std::to_string((toSecond ? *second_ : *gateway_).port("callers")) + "/ask/1";
+        call.headers = {{"Host", "shop.example"},
+                        {"Attempt-Id", "a" + std::to_string(sent_)},
+                        {"Deadline-Ms", "700"},
+                        {"Token-Counts", "100,2"},
+                        {"Prompt-Prefix", "system:50," + part + ":40,own" + std::to_string(sent_) + ":10"}};
+        call.timeoutMs = 3000;
+        return sendRequest(call).code;
+    }
+
+    int crashes()
+    {
+        int sum = 0;
+        for (const auto &engine : engines_) {
+            sum += engine->crashes();
+        }
+        return sum;
+    }
+
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(context_);
+    std::vector<std::unique_ptr<CrashingEngine>> engines_;
+    std::string secondIp_;
+    std::unique_ptr<TestProcess> second_;
+    std::jthread thread_;
+    int sent_ = 0;
+};
+
+// Guards against requests of one kind that crash one engine after the other, at whichever gateway they come.
+TEST_F(UsersPlatformCrashTest, PromptPartCrashesEngines_FifthCrashWasReported_ItIsSentNoMoreAndOthersAreServed)
+{
+    ASSERT_TRUE(waitUntil([&] { return sendPrompt("sound") == 200 && sendPrompt("sound") == 200; }));
+    std::vector<int> repliesToDeadly;
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (crashes() < 5 && std::chrono::steady_clock::now() < end
+           && (repliesToDeadly.empty() || repliesToDeadly.back() != 503 || crashes() < 3)) {
+        repliesToDeadly.push_back(sendPrompt(DeadlyPart));
+        sendPrompt("sound");
+        std::this_thread::sleep_for(200ms);
+    }
+    ASSERT_GE(crashes(), 3);
+    std::this_thread::sleep_for(ReportTime);
+    const int before = crashes();
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(sendPrompt(DeadlyPart), 503);
+        served += sendPrompt("sound") == 200 ? 1 : 0;
+        served += sendPrompt("new" + std::to_string(i)) == 200 ? 1 : 0;
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_LE(crashes() - before, 3);
+    EXPECT_GE(served, 38);
+}
+
 TEST_F(UsersPlatformTest, PlannedStop_GatewayExitsWithCodeZero)
 {
     ASSERT_TRUE(waitUntilServed("key-1"));
