--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -1,5 +1,6 @@
 #include "fleetcoordinator.h"
 
+#include "rendezvous.h"
 #include "suspendclock.h"
 
 #include <algorithm>
@@ -82,7 +83,19 @@
                    [this](TimePoint readAt) { quotas_.onDivisionConfirmed(readAt); },
                    [this] { quotas_.onNoDivisionStored(); },
                    [this](const auto &stages, bool isFirst) { onStagesAnnounced(stages, isFirst); },
-                   [this](const LinkKeys &keys) { onLinkKeys(keys); }})
+                   [this](const LinkKeys &keys) { onLinkKeys(keys); },
+                   [this](const TableRows &rows) { crashReporter_.onTableRead(rows); },
+                   [this](const std::string &key, const std::string &value, std::uint64_t version) {
+                       crashReporter_.onRowChanged(key, value, version);
+                   }})
+    , crashReporter_(
+          context,
+          pool,
+          sharedRows_.table(),
+          settings.vmName,
+          [this](const std::string &part) { return isTrialGateway(part); },
+          metrics,
+          log)
     , lease_(context.get_executor(), table, log, DutyName, settings.vmName, incarnation, leaseOptions())
     , operations_(client, settings.operationsApi ? "http://" + settings.operationsApi->text() : "")
     , usageReporter_(context.get_executor(),
@@ -122,6 +135,7 @@
 void FleetCoordinator::tick(TimePoint now)
 {
     sharedRows_.tick(now);
+    crashReporter_.tick(now);
     updateIntervals(now);
     if (now >= nextLeaseReadAt_) {
         nextLeaseReadAt_ = now + intervals_.leaseRead;
@@ -216,6 +230,12 @@
     }
 }
 
+bool FleetCoordinator::isTrialGateway(const std::string &part) const
+{
+    const auto first = rendezvous(part, divider_.current().vms(), 1);
+    return !first.empty() && first.front() == settings_.vmName;
+}
+
 void FleetCoordinator::writeStatus(TimePoint now)
 {
     const double ms = toSeconds(now - std::exchange(statusWrittenAt_, now)) * 1000;
@@ -343,4 +363,9 @@
     return std::max<std::size_t>(1, divider_.current().gateways.size());
 }
 
+CrashReporter &FleetCoordinator::crashReporter()
+{
+    return crashReporter_;
+}
+
 }
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "coordinationintervals.h"
+#include "crashreporter.h"
 #include "dutylease.h"
 #include "endpointdirectory.h"
 #include "gatewaystatus.h"
@@ -60,12 +61,16 @@
     bool hasLeft() const;
     /** Number of gateways that share the fleet's limits, as far as this one knows; at least 1. */
     std::size_t gatewayCount() const;
+    /** Knows the prompts that crash endpoints. */
+    CrashReporter &crashReporter();
 
 private:
     void readLease();
     void onDivision(const QuotaDivision &division, TimePoint readAt);
     void onStagesAnnounced(const std::map<std::string, EngineStage> &stages, bool isFirst);
     void onLinkKeys(const LinkKeys &keys);
+    /** Whether this gateway tries requests with a prompt part that was blocked; there is one such gateway for each part. */
+    bool isTrialGateway(const std::string &part) const;
     /** Adapts the intervals of all calls to the number of gateways. */
     void updateIntervals(TimePoint now);
     /** Whether this gateway is among those that stand ready to take over the duties. */
@@ -93,6 +98,7 @@
     const Log &log_;
 
     SharedRows sharedRows_;
+    CrashReporter crashReporter_;
     BasicDutyLease<PlatformTable> lease_;
     Platform::OperationsApi operations_;
     BasicUsageReporter<PlatformTable, Platform::OperationsApi> usageReporter_;
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -385,6 +385,7 @@
 {
     answerFraming_ = call.framing;
     unforwardedBytes_ = call.body.size();
+    reportRunEnd(call, outcome);
     if (exchange_->hasBegun()) {
         if (outcome == AttemptOutcome::Succeeded) {
             exchange_->sendBody(call.body);
@@ -406,6 +407,19 @@
     performStep(step, call);
 }
 
+void ForwardedRequest::reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome)
+{
+    if (request_.facts.promptParts.empty()) {
+        return;
+    }
+    const bool isBroken = outcome == AttemptOutcome::NoAnswer || outcome == AttemptOutcome::Broken;
+    if (outcome == AttemptOutcome::Succeeded) {
+        context_.fleet.crashReporter().onRunAnswered(request_.service->name, request_.facts.promptParts);
+    } else if (isBroken && !exchange_->hasBegun()) {
+        context_.fleet.crashReporter().onRunBroken(call.endpoint, request_.facts.promptParts, call.startedAt);
+    }
+}
+
 void ForwardedRequest::performStep(NextStep step, const OutgoingCall &call)
 {
     switch (step) {
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -60,6 +60,8 @@
     OutgoingCall endCall(AttemptOutcome outcome);
     void onPrefillEnd(const OutgoingCall &call, AttemptOutcome outcome);
     void onRunEnd(OutgoingCall call, AttemptOutcome outcome);
+    /** Tells the crash reporter how the run of the prompt ended. */
+    void reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome);
 
     void forwardBody();
     void beginAnswer(const ResponseHead &head);
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -353,14 +353,32 @@
             return;
         }
         request.customer = customer->name;
+        if (refuseCrashingPrompt(exchange, request)) {
+            return;
+        }
         if (customer->rate > 0) {
             spendQuota(exchange, std::move(request), *customer);
             return;
         }
+    } else if (refuseCrashingPrompt(exchange, request)) {
+        return;
     }
     forwardRequest(exchange, std::move(request));
 }
 
+bool PlatformGateway::refuseCrashingPrompt(const std::shared_ptr<CallerExchange> &exchange, const AdmittedRequest &request)
+{
+    const auto wait = fleet_.crashReporter().blockedFor(request.service->name, request.facts.promptParts);
+    if (wait) {
+        refuseRequest(exchange,
+                      request.facts,
+                      Unavailable,
+                      "a part of its prompt crashes endpoints",
+                      std::chrono::duration_cast<Milliseconds>(*wait));
+    }
+    return wait.has_value();
+}
+
 void PlatformGateway::forwardRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request)
 {
     std::make_shared<ForwardedRequest>(forwarding_, exchange, std::move(request))->start();
--- a/src/chestnutcove/sharedrows.cpp
+++ b/src/chestnutcove/sharedrows.cpp
@@ -16,11 +16,14 @@
 /** Leaves time to confirm the division anew within QuotaShareOptions::maxAge if a poll is not answered. */
 constexpr Milliseconds LongPollTimeout{3000};
 constexpr Milliseconds KeyWriteInterval{700};
+/** Rows of several gateways that change at about the same time are fetched together. */
+constexpr Milliseconds CoalescingPause{100};
 
 TableMirrorOptions mirrorOptions()
 {
     TableMirrorOptions options;
     options.longPollTimeout = LongPollTimeout;
+    options.coalescingPause = CoalescingPause;
     return options;
 }
 
@@ -45,11 +48,12 @@
                    for (const auto &[key, row] : rows) {
                        onRow(key, row.value, row.version);
                    }
+                   handlers_.onTableRead(rows);
                },
                [this](const auto &changes) {
                    for (const auto &change : changes) {
-                       if (change.value) {
-                           onRow(change.key, *change.value, change.version);
+                       if (change.value && !onRow(change.key, *change.value, change.version)) {
+                           handlers_.onOtherRow(change.key, *change.value, change.version);
                        }
                    }
                },
@@ -71,21 +75,32 @@
     }
 }
 
-void SharedRows::onRow(const std::string &key, const std::string &value, std::uint64_t version)
+bool SharedRows::onRow(const std::string &key, const std::string &value, std::uint64_t version)
 {
     if (key == DivisionKey) {
-        auto division = QuotaDivision::fromText(value);
-        if (!division.ok()) {
-            log_.error("division of quotas unreadable", {{"reason", std::string(division.status().message())}});
-            return;
-        }
-        divisionVersion_ = version;
-        newDivision_ = std::move(*division);
-    } else if (key == StageOrders::AnnouncementKey) {
+        onDivision(value, version);
+        return true;
+    }
+    if (key == StageOrders::AnnouncementKey) {
         onAnnouncement(value, version);
-    } else if (key == LinkKeysKey) {
+        return true;
+    }
+    if (key == LinkKeysKey) {
         onKeys(value);
+        return true;
+    }
+    return false;
+}
+
+void SharedRows::onDivision(const std::string &value, std::uint64_t version)
+{
+    auto division = QuotaDivision::fromText(value);
+    if (!division.ok()) {
+        log_.error("division of quotas unreadable", {{"reason", std::string(division.status().message())}});
+        return;
     }
+    divisionVersion_ = version;
+    newDivision_ = std::move(*division);
 }
 
 void SharedRows::onConfirmed(TimePoint time)
--- a/src/chestnutcove/sharedrows.h
+++ b/src/chestnutcove/sharedrows.h
@@ -1,6 +1,6 @@
 /**
- * The rows that all gateways follow: the division of quotas, announced stage changes, and the key pair of the links between gateways. They
- * have a table of their own, which seldom changes, so that a gateway can follow it by long polling.
+ * The rows that all gateways follow: the division of quotas, announced stage changes, reports of crashed endpoints, and the key pair of the
+ * links between gateways. They have a table of their own, which seldom changes, so that a gateway can follow it by long polling.
  */
 #pragma once
 
@@ -34,6 +34,10 @@
         /** @param isFirst the announcement is the first that this process has read, so its age is unknown. */
         std::function<void(const std::map<std::string, EngineStage> &stages, bool isFirst)> onStagesAnnounced;
         std::function<void(const LinkKeys &keys)> onLinkKeys;
+        /** All rows were read. */
+        std::function<void(const TableRows &rows)> onTableRead;
+        /** A row that none of the above is for has changed. */
+        std::function<void(const std::string &key, const std::string &value, std::uint64_t version)> onOtherRow;
     };
 
     SharedRows(asio::io_context &context, HttpClient &client, const PlatformOptions &store, const Log &log, Handlers handlers);
@@ -48,7 +52,9 @@
     PlatformTable &table();
 
 private:
-    void onRow(const std::string &key, const std::string &value, std::uint64_t version);
+    /** @return whether this class knows the row. */
+    bool onRow(const std::string &key, const std::string &value, std::uint64_t version);
+    void onDivision(const std::string &value, std::uint64_t version);
     void onConfirmed(TimePoint time);
     void onAnnouncement(const std::string &value, std::uint64_t version);
     void onKeys(const std::string &value);
