EndpointDirectory: an endpoint that leaves or wants no requests for a while gets none

New in the users' protocol: an endpoint that leaves may say so only in its answers (Server-Leaving), and one that turns a request away may state for how long it wants no other (Retry-After with 503). Both were ignored: an entry that stays ready went on to get requests, and a turned-away gateway came back after 60 ms.

Change: both are decoded in platform/ and kept by the directory for that run of the endpoint; requests that wait for a connection are checked again before they are sent. Leaving holds until the endpoint's next run, closed times until they are over (300 s at most).

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -223,7 +223,7 @@
 
 bool ForwardedRequest::mustNotSendTo(const EndpointRecord &endpoint) const
 {
-    return timeLeft() <= Milliseconds::zero() || !context_.directory.isUsable(endpoint);
+    return timeLeft() <= Milliseconds::zero() || !context_.directory.isUsable(endpoint, suspendAwareNow());
 }
 
 void ForwardedRequest::sendOverConnection(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingMetadata &given)
@@ -261,6 +261,12 @@
     if (call_->answer.load) {
         context_.loads.onLoadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
     }
+    if (call_->answer.isLeaving) {
+        context_.directory.onLeaving(call_->endpoint);
+    }
+    if (call_->answer.turnedAwayFor) {
+        context_.directory.onTurnedAway(call_->endpoint, suspendAwareNow() + *call_->answer.turnedAwayFor);
+    }
     const bool hasBegun = call_->work == CallWork::Run && !call_->answer.notRun;
     if (hasBegun) {
         heldPrompt_.reset();
--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -11,6 +11,11 @@
 {
 }
 
+bool EndpointDirectory::Entry::isDraining() const
+{
+    return record.draining || isLeaving;
+}
+
 void EndpointDirectory::replaceAll(const std::vector<EndpointRecord> &records, TimePoint now)
 {
     std::set<std::string> present;
@@ -43,13 +48,13 @@
 {
     const auto it = entries_.find(record.id);
     if (it == entries_.end()) {
-        entries_.emplace(record.id, Entry{record, std::nullopt, std::nullopt, {}});
+        entries_.emplace(record.id, Entry{.record = record});
         return;
     }
     Entry &entry = it->second;
     if (!entry.record.isSameRun(record)) {
         endedRuns_.push_back(entry.record);
-        entry.pendingStage.reset();
+        entry = Entry{.record = record};
     }
     entry.record = record;
     entry.retainedUntil.reset();
@@ -64,6 +69,26 @@
     }
 }
 
+EndpointDirectory::Entry *EndpointDirectory::findRun(const EndpointRecord &record)
+{
+    const auto it = entries_.find(record.id);
+    return it != entries_.end() && it->second.record.isSameRun(record) ? &it->second : nullptr;
+}
+
+void EndpointDirectory::onLeaving(const EndpointRecord &record)
+{
+    if (Entry *entry = findRun(record)) {
+        entry->isLeaving = true;
+    }
+}
+
+void EndpointDirectory::onTurnedAway(const EndpointRecord &record, TimePoint until)
+{
+    if (Entry *entry = findRun(record)) {
+        entry->closedUntil = std::max(entry->closedUntil, until);
+    }
+}
+
 void EndpointDirectory::onEntryMissing(const std::string &id, TimePoint now)
 {
     const auto it = entries_.find(id);
@@ -75,7 +100,7 @@
         return;
     }
     const bool recentlyRecovered = storeRecoveredAt_ && now - *storeRecoveredAt_ < options_.reregistrationTime;
-    if (recentlyRecovered && !it->second.record.draining) {
+    if (recentlyRecovered && !it->second.isDraining()) {
         it->second.retainedUntil = *storeRecoveredAt_ + options_.reregistrationTime;
         return;
     }
@@ -123,7 +148,7 @@
     std::vector<EndpointRecord> result;
     for (const auto &[id, entry] : entries_) {
         const bool isChangingStage = entry.pendingStage && entry.pendingStage != entry.record.stage && now < entry.pendingUntil;
-        if (entry.record.service == service && !entry.record.draining && !isChangingStage) {
+        if (entry.record.service == service && !entry.isDraining() && !isChangingStage && now >= entry.closedUntil) {
             result.push_back(entry.record);
         }
     }
@@ -134,17 +159,17 @@
 {
     std::vector<EndpointRecord> result;
     for (const auto &[id, entry] : entries_) {
-        if (entry.record.service == service && !entry.record.draining) {
+        if (entry.record.service == service && !entry.isDraining()) {
             result.push_back(entry.record);
         }
     }
     return result;
 }
 
-bool EndpointDirectory::isUsable(const EndpointRecord &record) const
+bool EndpointDirectory::isUsable(const EndpointRecord &record, TimePoint now) const
 {
     const auto it = entries_.find(record.id);
-    return it != entries_.end() && it->second.record.isSameRun(record) && !it->second.record.draining;
+    return it != entries_.end() && it->second.record.isSameRun(record) && !it->second.isDraining() && now >= it->second.closedUntil;
 }
 
 std::vector<EndpointRecord> EndpointDirectory::allEndpoints() const
--- a/src/libserving/endpointdirectory.h
+++ b/src/libserving/endpointdirectory.h
@@ -32,6 +32,10 @@
     void onEntriesMissing(const std::vector<std::string> &ids, TimePoint now);
     /** Excludes the engine from new requests until it has changed to @p stage, at most until @p until. */
     void onStageChangeAnnounced(const std::string &id, EngineStage stage, TimePoint until);
+    /** The endpoint stated in an answer that it is about to stop, which its entry may never say. */
+    void onLeaving(const EndpointRecord &record);
+    /** The endpoint turned a request away and wants no other before @p until. */
+    void onTurnedAway(const EndpointRecord &record, TimePoint until);
     void onStoreLost();
     void onStoreRecovered(TimePoint now);
 
@@ -41,8 +45,8 @@
     std::vector<EndpointRecord> usableEndpoints(const std::string &service, TimePoint now) const;
     /** The endpoints of a service that are not draining, including those that are changing their stage. */
     std::vector<EndpointRecord> nonDrainingEndpoints(const std::string &service) const;
-    /** Whether this run of the endpoint is still registered and not draining. */
-    bool isUsable(const EndpointRecord &record) const;
+    /** Whether this run of the endpoint is still registered and accepts new requests, whatever its stage. */
+    bool isUsable(const EndpointRecord &record, TimePoint now) const;
     std::vector<EndpointRecord> allEndpoints() const;
 
 private:
@@ -54,9 +58,17 @@
         /** The stage that the engine is about to change to; ignored after pendingUntil. */
         std::optional<EngineStage> pendingStage;
         TimePoint pendingUntil{};
+        /** This run of the endpoint has stated that it is leaving. */
+        bool isLeaving = false;
+        /** It wants no requests before that time. */
+        TimePoint closedUntil{};
+
+        bool isDraining() const;
     };
 
     void onEntryMissing(const std::string &id, TimePoint now);
+    /** The entry of this run of the endpoint, or null. */
+    Entry *findRun(const EndpointRecord &record);
     void remove(std::map<std::string, Entry>::iterator entry);
 
     EndpointDirectoryOptions options_;
--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -336,9 +336,7 @@
     {
         const std::string head
             = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: signed\r\nContent-Type: text/event-stream\r\n" + framing;
-        asio::dispatch(endpointContext_, [this, head, body, afterResponse] {
-            endpoint_.lastScript = {head + "\r\n" + body, afterResponse};
-        });
+        setScript(head + "\r\n" + body, afterResponse);
         waitUntil([&] {
             answer_ = send();
             return answer_.code != 404 && answer_.code != 503;
@@ -346,6 +344,11 @@
         return answer_;
     }
 
+    void setScript(const std::string &response, Script::AfterResponse afterResponse = Script::AfterResponse::KeepOpen)
+    {
+        asio::dispatch(endpointContext_, [this, response, afterResponse] { endpoint_.lastScript = {response, afterResponse}; });
+    }
+
     TestResponse send()
     {
         TestRequest call;
@@ -471,6 +474,33 @@
     EXPECT_GT(countServed(3000ms, [&] { return sendOrder("/orders/1", "key-1").code; }), Rate);
 }
 
+// Guards against requests to an endpoint that said in an answer that it is leaving.
+TEST_F(UsersPlatformStreamTest, AnswerSaysThatItsEndpointLeaves_NextRequest_IsNotSentToIt)
+{
+    const std::string body = "id: 1\ndata: a\n\n";
+    EXPECT_EQ(
+        streamOf("Server-Leaving: 1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n", body, Script::AfterResponse::KeepOpen)
+            .code,
+        200);
+    EXPECT_EQ(send().code, 503);
+}
+
+// Guards against requests to an endpoint in the time for which it wants none; after it, it gets requests again.
+TEST_F(UsersPlatformStreamTest, EndpointTurnsRequestAway_RequestsInTheStatedTime_AreNotSentToIt)
+{
+    const std::string body = "id: 1\ndata: a\n\n";
+    const std::string framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    EXPECT_EQ(streamOf(framing, body, Script::AfterResponse::KeepOpen).code, 200);
+    setScript("HTTP/1.1 503 Busy\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(send().code, 503);
+    const int before = endpoint_.requests;
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(send().code, 503);
+    }
+    EXPECT_EQ(endpoint_.requests, before);
+    EXPECT_EQ(streamOf(framing, body, Script::AfterResponse::KeepOpen).code, 200);
+}
+
 /** Two gateways before engines that end when they begin to answer a prompt with one certain part. */
 class UsersPlatformCrashTest : public UsersPlatformTest
 {
--- a/tests/serving/endpointdirectory_test.cpp
+++ b/tests/serving/endpointdirectory_test.cpp
@@ -43,7 +43,44 @@
     leaving.draining = true;
     directory_.onRegistered(leaving);
     EXPECT_EQ(usableCount(), 0U);
-    EXPECT_FALSE(directory_.isUsable(leaving));
+    EXPECT_FALSE(directory_.isUsable(leaving, now_));
+}
+
+// Guards against requests to an endpoint that said it is leaving only in its answers.
+TEST_F(EndpointDirectoryTest, EndpointStatesInAnswerThatItLeaves_EntryStaysReady_IsNotUsableUntilItsNextRun)
+{
+    directory_.onRegistered(record("a"));
+    directory_.onLeaving(record("a"));
+    EXPECT_EQ(usableCount(), 0U);
+    EXPECT_TRUE(directory_.nonDrainingEndpoints("lm").empty());
+    directory_.onRegistered(record("a"));
+    EXPECT_EQ(usableCount(), 0U);
+    EXPECT_FALSE(directory_.isUsable(record("a"), now_));
+    directory_.onRegistered(record("a", 2));
+    EXPECT_EQ(usableCount(), 1U);
+}
+
+// Guards against requests to an endpoint in the time for which it wants none.
+TEST_F(EndpointDirectoryTest, EndpointTurnsRequestsAway_IsNotUsableForTheStatedTime)
+{
+    directory_.onRegistered(record("a"));
+    directory_.onTurnedAway(record("a"), now_ + 2s);
+    directory_.onTurnedAway(record("a"), now_ + 1s);
+    directory_.onRegistered(record("a"));
+    now_ += 1500ms;
+    EXPECT_EQ(usableCount(), 0U);
+    EXPECT_FALSE(directory_.isUsable(record("a"), now_));
+    EXPECT_EQ(directory_.nonDrainingEndpoints("lm").size(), 1U);
+    now_ += 500ms;
+    EXPECT_EQ(usableCount(), 1U);
+}
+
+TEST_F(EndpointDirectoryTest, AnswerOfFormerRun_SaysItLeaves_NextRunIsUsable)
+{
+    directory_.onRegistered(record("a", 2));
+    directory_.onLeaving(record("a", 1));
+    directory_.onTurnedAway(record("a", 1), now_ + 2s);
+    EXPECT_EQ(usableCount(), 1U);
 }
 
 TEST_F(EndpointDirectoryTest, EntryMissing_StoreAvailable_IsNotUsable)
@@ -86,8 +123,8 @@
     const auto ended = directory_.takeEndedRuns(now_);
     ASSERT_EQ(ended.size(), 1U);
     EXPECT_EQ(ended.front().startedAt, 1U);
-    EXPECT_FALSE(directory_.isUsable(record("a", 1)));
-    EXPECT_TRUE(directory_.isUsable(record("a", 2)));
+    EXPECT_FALSE(directory_.isUsable(record("a", 1), now_));
+    EXPECT_TRUE(directory_.isUsable(record("a", 2), now_));
 }
 
 TEST_F(EndpointDirectoryTest, StageChangeAnnounced_UntilItIsDone_EngineIsNotUsable)
--- a/tests/standins/scriptedendpoint.h
+++ b/tests/standins/scriptedendpoint.h
@@ -12,6 +12,7 @@
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 
+#include <atomic>
 #include <deque>
 #include <memory>
 #include <string>
@@ -54,7 +55,7 @@
     /** Played once the scripts are used up; an empty one leaves requests without an answer. */
     Script lastScript;
     int connections = 0;
-    int requests = 0;
+    std::atomic<int> requests = 0;
 
 private:
     struct Peer
--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -212,6 +212,19 @@
     EXPECT_FALSE(decodeResponse({200, "", {{"Server-Load", "3,x,8"}}}).load.has_value());
 }
 
+TEST(Response, LeavingOrTurnedAway_Decoded_StatesItAndTimeIsBounded)
+{
+    EXPECT_TRUE(decodeResponse({200, "", {{"Server-Leaving", "1"}}}).isLeaving);
+    EXPECT_FALSE(decodeResponse({200, "", {}}).isLeaving);
+    EXPECT_EQ(decodeResponse({503, "", {{"Retry-After", "1.5"}}}).turnedAwayFor, Milliseconds(1500));
+    EXPECT_FALSE(decodeResponse({429, "", {{"Retry-After", "1.5"}}}).turnedAwayFor);
+    for (const char *text : {"", "soon", "-1", "0", "nan"}) {
+        EXPECT_FALSE(decodeResponse({503, "", {{"Retry-After", text}}}).turnedAwayFor) << text;
+    }
+    EXPECT_LE(decodeResponse({503, "", {{"Retry-After", "1e300"}}}).turnedAwayFor, Milliseconds(300000));
+    EXPECT_EQ(findField(encodeResponse({200, "", {{"Server-Leaving", "1"}}}).fields, "Server-Leaving"), nullptr);
+}
+
 TEST(Response, GatewayRefusal_Encoded_HasRequestIdAndRetryAfter)
 {
     const auto head = encodeGatewayResponse(503, "a1", Milliseconds(250));
