--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -89,6 +89,30 @@
                 {"tenants", {{{"name", "desk"}, {"api_keys", keys}, {"rate_per_s", ratePerSecond}, {"burst", burst}}}}});
     }
 
+    /** One open route of this kind to the model service, whose endpoints are engines. */
+    void putEngineConfiguration(const char *kind)
+    {
+        putRow("op",
+               "config",
+               {{"version", 2},
+                {"routes",
+                 {{{"name", "ask"},
+                   {"host", "shop.example"},
+                   {"path_prefix", "/ask/"},
+                   {"kind", kind},
+                   {"timeout_ms", 800},
+                   {"target_latency_ms", 150},
+                   {"service", "model"},
+                   {"max_attempts", 2},
+                   {"anonymous", true}}}},
+                {"services",
+                 {{{"name", "model"},
+                   {"health_path", "/healthz"},
+                   {"max_connections", 50},
+                   {"engine", {{"slots", 8}, {"kv_capacity", 100000}, {"kv_token_bytes", 1000}, {"link_mbps", 1000.0}}}}}},
+                {"limits", nlohmann::json::object()}});
+    }
+
     nlohmann::json callAdmin(const std::string &path, const nlohmann::json &body = nlohmann::json::object())
     {
         TestRequest call;
@@ -220,25 +244,7 @@
                     {"stage", std::string(id).starts_with("reader") ? "prefill" : "decode"},
                     {"seq", 1}});
         }
-        putRow("op",
-               "config",
-               {{"version", 2},
-                {"routes",
-                 {{{"name", "ask"},
-                   {"host", "shop.example"},
-                   {"path_prefix", "/ask/"},
-                   {"kind", "idempotent"},
-                   {"timeout_ms", 800},
-                   {"target_latency_ms", 150},
-                   {"service", "model"},
-                   {"max_attempts", 2},
-                   {"anonymous", true}}}},
-                {"services",
-                 {{{"name", "model"},
-                   {"health_path", "/healthz"},
-                   {"max_connections", 50},
-                   {"engine", {{"slots", 8}, {"kv_capacity", 100000}, {"kv_token_bytes", 1000}, {"link_mbps", 1000.0}}}}}},
-                {"limits", nlohmann::json::object()}});
+        putEngineConfiguration("idempotent");
     }
 
     TestResponse sendPrompt()
@@ -526,25 +532,7 @@
                     {"stage", "decode"},
                     {"seq", 1}});
         }
-        putRow("op",
-               "config",
-               {{"version", 2},
-                {"routes",
-                 {{{"name", "ask"},
-                   {"host", "shop.example"},
-                   {"path_prefix", "/ask/"},
-                   {"kind", "streaming"},
-                   {"timeout_ms", 800},
-                   {"target_latency_ms", 150},
-                   {"service", "model"},
-                   {"max_attempts", 2},
-                   {"anonymous", true}}}},
-                {"services",
-                 {{{"name", "model"},
-                   {"health_path", "/healthz"},
-                   {"max_connections", 50},
-                   {"engine", {{"slots", 8}, {"kv_capacity", 100000}, {"kv_token_bytes", 1000}, {"link_mbps", 1000.0}}}}}},
-                {"limits", nlohmann::json::object()}});
+        putEngineConfiguration("streaming");
         thread_ = std::jthread([this] { context_.run(); });
     }
 
