EndpointAdmission: log the limits that endpoints name in their answers

The logs couldn't tell whether a gateway knew of a limit: no line said what an endpoint names. A line at each change now has the endpoint, the limit before and after, the kind and status of the answer that told of it, and how many answers came since; a gauge counts limited endpoints. No decision reads it yet, so behaviour is unchanged: an endpoint that names a limit still gets whatever its load allows.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -261,6 +261,7 @@
     if (call_->answer.load) {
         context_.loads.onLoadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
     }
+    context_.endpoints.onAnswer(*call_);
     if (call_->answer.isLeaving) {
         context_.directory.onLeaving(call_->endpoint);
     }
@@ -334,7 +335,7 @@
     context_.log.info("call failed",
                       {{"request", request_.facts.requestId},
                        {"endpoint", call.endpoint.id},
-                       {"work", call.work == CallWork::Prefill ? "prefill" : "run"},
+                       {"work", std::string(nameOf(CallWorkNames, call.work))},
                        {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))},
                        {"status", call.head ? std::to_string(call.head->status) : "none"},
                        {"endsWith", call.head ? std::string(nameOf(BodyFramingNames, call.framing)) : "none"},
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "endpointadmission.h"
 #include "endpointdirectory.h"
 #include "endpointloads.h"
 #include "endpointpool.h"
@@ -34,6 +35,7 @@
     std::string dataCentre;
     FleetCoordinator &fleet;
     QuotaAdmission &quotas;
+    EndpointAdmission &endpoints;
     /** Retries that each first attempt allows. */
     double retryRatio = 0;
     /** Retries beyond that ratio, over all gateways. */
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -97,6 +97,7 @@
     , pool_(context, EndpointPoolOptions{})
     , quotas_(
           context, settings_.vmName, incarnation_, quotaOptions(settings_), [this] { return catalogue_; }, metrics, log)
+    , endpointAdmission_(metrics, log)
     , fleet_(
           settings_,
           context,
@@ -120,6 +121,7 @@
                   settings_.dataCentre,
                   fleet_,
                   quotas_,
+                  endpointAdmission_,
                   settings_.retryRatio * RetryBudgetFraction,
                   settings_.retryReserve * RetryBudgetFraction,
                   {}}
@@ -302,6 +304,7 @@
         pool_.closeIdleConnections(record);
         loads_.removeEndpoint(record.id);
         placement_.removeEndpoint(record.id);
+        endpointAdmission_.removeEndpoint(record);
     }
 }
 
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "callerserver.h"
+#include "endpointadmission.h"
 #include "endpointdirectory.h"
 #include "endpointloads.h"
 #include "endpointpool.h"
@@ -107,6 +108,7 @@
     PlacementPolicy placement_;
     EndpointPool pool_;
     QuotaAdmission quotas_;
+    EndpointAdmission endpointAdmission_;
     FleetCoordinator fleet_;
     ForwardingContext forwarding_;
     TableMirror<PlatformTable> configurationMirror_;
--- a/src/libserving/endpointloads.h
+++ b/src/libserving/endpointloads.h
@@ -6,6 +6,7 @@
 
 #include "attemptpolicy.h"
 #include "endpointrecord.h"
+#include "nametable.h"
 #include "timepoint.h"
 
 #include <cstdint>
@@ -23,6 +24,11 @@
     Prefill,
 };
 
+inline constexpr NameTable<CallWork, 2> CallWorkNames{{
+    {CallWork::Run, "run"},
+    {CallWork::Prefill, "prefill"},
+}};
+
 /** The prefill work that a call gives to an endpoint. */
 struct PromptWork
 {
--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -225,6 +225,16 @@
     EXPECT_EQ(findField(encodeResponse({200, "", {{"Server-Leaving", "1"}}}).fields, "Server-Leaving"), nullptr);
 }
 
+TEST(Response, NamesLimit_Decoded_IsNonNegativeNumberOfRequests)
+{
+    EXPECT_EQ(decodeResponse({200, "", {{"Server-Limit", "14.2"}}}).requestsPerSecond, 14.2);
+    EXPECT_EQ(decodeResponse({503, "", {{"server-limit", " 0 "}}}).requestsPerSecond, 0);
+    EXPECT_FALSE(decodeResponse({200, "", {}}).requestsPerSecond);
+    for (const char *text : {"", "few", "-1", "inf", "nan", "1e999"}) {
+        EXPECT_FALSE(decodeResponse({200, "", {{"Server-Limit", text}}}).requestsPerSecond) << text;
+    }
+}
+
 TEST(Response, GatewayRefusal_Encoded_HasRequestIdAndRetryAfter)
 {
     const auto head = encodeGatewayResponse(503, "a1", Milliseconds(250));
