--- a/tests/standins/usersplatform.cpp
+++ b/tests/standins/usersplatform.cpp
@@ -90,8 +90,12 @@
 
 void UsersPlatformStandIn::respondWithRows(const HttpReply &reply, const nlohmann::json &rows) const
 {
-    const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt_);
-    reply.respond(200, {}, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", uptime.count()}}.dump());
+    reply.respond(200, {}, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", uptimeMs()}}.dump());
+}
+
+std::int64_t UsersPlatformStandIn::uptimeMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - startedAt_).count();
 }
 
 void UsersPlatformStandIn::answerFeeds(std::chrono::steady_clock::time_point now)
@@ -158,6 +162,7 @@
         down_ = body.value("down", down_);
         silentEndpoint_ = body.value("silentEndpoint", silentEndpoint_);
         runsToRefuse_ = body.value("refusedRuns", runsToRefuse_);
+        limits_ = body.value("limits", limits_);
         answerFeeds(std::chrono::steady_clock::now());
     }
     reply.respond(200, {}, nlohmann::json{{"requests", requests_}, {"reports", reports_}}.dump());
@@ -169,7 +174,8 @@
     for (const auto &[name, value] : request.headers) {
         headers[name] = value;
     }
-    requests_.push_back({{"method", request.method}, {"path", request.path}, {"body", request.body}, {"headers", headers}});
+    requests_.push_back(
+        {{"method", request.method}, {"path", request.path}, {"body", request.body}, {"headers", headers}, {"atMs", uptimeMs()}});
     if (silentEndpoint_) {
         return;
     }
@@ -183,7 +189,12 @@
         reply.respond(503, {{"Attempt-Id", id}, {"Not-Executed", "full"}}, "");
         return;
     }
-    reply.respond(200, {{"Attempt-Id", id}, {"Response-Stamp", "signed"}, {"Server-Load", "1,0,8"}}, "served " + request.body);
+    HttpHeaders fields{{"Attempt-Id", id}, {"Response-Stamp", "signed"}, {"Server-Load", "1,0,8"}};
+    const auto limit = limits_.find(std::string(request.headerValue("Expect-Instance").value_or("")));
+    if (limit != limits_.end()) {
+        fields.emplace_back("Server-Limit", limit->second);
+    }
+    reply.respond(200, fields, "served " + request.body);
 }
 
 }
--- a/tests/standins/usersplatform.h
+++ b/tests/standins/usersplatform.h
@@ -50,6 +50,7 @@
 
     /** Rows of a table with keys in [from, to) and versions above @p after; an empty @p to is no limit. */
     nlohmann::json rowsOf(const std::string &table, const std::string &from, const std::string &to, std::uint64_t after) const;
+    std::int64_t uptimeMs() const;
     void respondWithRows(const HttpReply &reply, const nlohmann::json &rows) const;
     /** Answers the calls for changes that have waited long enough or have changes to return. */
     void answerFeeds(std::chrono::steady_clock::time_point now);
@@ -71,6 +72,8 @@
     bool silentEndpoint_ = false;
     /** Number of decode requests with a prompt prefilled elsewhere (Kv-Source) that are still to be refused as not executed. */
     int runsToRefuse_ = 0;
+    /** By the endpoint that a request names: the limit, in requests a second, that its answer names. */
+    std::map<std::string, std::string> limits_;
     nlohmann::json requests_ = nlohmann::json::array();
     nlohmann::json reports_ = nlohmann::json::array();
     /** Answers calls for changes whose time is over. */
