LimitAdmission: the part of QuotaAdmission that knows no customers has a class of its own

Preparation for limits that endpoints name; behaviour unchanged. What takes units of a limit from its share holders and answers their asks knew of customers only by the catalogue look-up. It is LimitAdmission now, for limits of one kind; QuotaAdmission looks up customers' quotas. RateLimit is what both need of a limit; its number of holders may be smaller than four. QuotaLinks hands messages on by the kind of their limit, and belongs to the gateway. A message without a kind is a customer's, so old and new processes understand each other.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -62,7 +62,8 @@
                                    const PlatformOptions &store,
                                    EndpointPool &pool,
                                    EndpointDirectory &directory,
-                                   QuotaAdmission &quotas,
+                                   QuotaLinks &links,
+                                   std::vector<LimitAdmission *> limits,
                                    CatalogueReader catalogue,
                                    std::uint64_t incarnation,
                                    Metrics &metrics,
@@ -70,7 +71,8 @@
     : settings_(settings)
     , table_(table)
     , directory_(directory)
-    , quotas_(quotas)
+    , links_(links)
+    , limits_(std::move(limits))
     , catalogue_(std::move(catalogue))
     , incarnation_(incarnation)
     , metrics_(metrics)
@@ -80,8 +82,8 @@
                   store,
                   log,
                   {[this](const QuotaDivision &division, TimePoint readAt) { onDivision(division, readAt); },
-                   [this](TimePoint readAt) { quotas_.onDivisionConfirmed(readAt); },
-                   [this] { quotas_.onNoDivisionStored(); },
+                   [this](TimePoint readAt) { onDivisionConfirmed(readAt); },
+                   [this] { onNoDivisionStored(); },
                    [this](const auto &stages, bool isFirst) { onStagesAnnounced(stages, isFirst); },
                    [this](const LinkKeys &keys) { onLinkKeys(keys); },
                    [this](const TableRows &rows) { crashReporter_.onTableRead(rows); },
@@ -166,7 +168,7 @@
 {
     // The lease holder waits for both before it seals a window or marks a division as settled.
     const bool hasNews = usageReporter_.storedThrough() > status_.usageStoredThrough || divider_.current().number > status_.divisionSeen
-        || quotas_.address() != status_.address;
+        || links_.address() != status_.address;
     return now >= nextStatusAt_ || (hasNews && now - statusWrittenAt_ >= MinStatusInterval);
 }
 
@@ -203,7 +205,14 @@
 {
     const bool isNew = division.number != divider_.current().number;
     divider_.onDivisionRead(division, suspendAwareNow());
-    quotas_.onDivisionRead(division, readAt);
+    std::vector<std::string> addresses;
+    for (const GatewayAddress &gateway : division.gateways) {
+        addresses.push_back(gateway.address);
+    }
+    links_.retain(addresses);
+    for (LimitAdmission *each : limits_) {
+        each->onDivisionRead(division, readAt);
+    }
     if (isNew) {
         log_.info("division of quotas seen",
                   {{"number", std::to_string(division.number)},
@@ -212,6 +221,20 @@
     }
 }
 
+void FleetCoordinator::onDivisionConfirmed(TimePoint readAt)
+{
+    for (LimitAdmission *each : limits_) {
+        each->onDivisionConfirmed(readAt);
+    }
+}
+
+void FleetCoordinator::onNoDivisionStored()
+{
+    for (LimitAdmission *each : limits_) {
+        each->onNoDivisionStored();
+    }
+}
+
 void FleetCoordinator::onStagesAnnounced(const std::map<std::string, EngineStage> &stages, bool isFirst)
 {
     // A process that has just started doesn't know how old the announcement is.
@@ -224,7 +247,7 @@
 
 void FleetCoordinator::onLinkKeys(const LinkKeys &keys)
 {
-    const auto status = quotas_.listen(keys, settings_.ip, settings_.gatewayPort);
+    const auto status = links_.start(keys, settings_.ip, settings_.gatewayPort);
     if (!status.ok()) {
         log_.error("no links between gateways", {{"reason", std::string(status.message())}});
     }
@@ -240,7 +263,7 @@
 {
     const double ms = toSeconds(now - std::exchange(statusWrittenAt_, now)) * 1000;
     ++status_.heartbeat;
-    status_.address = quotas_.address();
+    status_.address = links_.address();
     status_.usageStoredThrough = usageReporter_.storedThrough();
     status_.divisionSeen = divider_.current().number;
     status_.work.clear();
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -10,10 +10,12 @@
 #include "endpointdirectory.h"
 #include "gatewaystatus.h"
 #include "httptable.h"
+#include "limitadmission.h"
 #include "operationsapi.h"
 #include "platformsettings.h"
-#include "quotaadmission.h"
 #include "quotadivider.h"
+#include "quotalinks.h"
+#include "routecatalogue.h"
 #include "sharedrows.h"
 #include "stageorders.h"
 #include "usagereporter.h"
@@ -22,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Chestnutcove {
 
@@ -37,7 +40,8 @@
                      const PlatformOptions &store,
                      EndpointPool &pool,
                      EndpointDirectory &directory,
-                     QuotaAdmission &quotas,
+                     QuotaLinks &links,
+                     std::vector<LimitAdmission *> limits,
                      CatalogueReader catalogue,
                      std::uint64_t incarnation,
                      Metrics &metrics,
@@ -67,6 +71,8 @@
 private:
     void readLease();
     void onDivision(const QuotaDivision &division, TimePoint readAt);
+    void onDivisionConfirmed(TimePoint readAt);
+    void onNoDivisionStored();
     void onStagesAnnounced(const std::map<std::string, EngineStage> &stages, bool isFirst);
     void onLinkKeys(const LinkKeys &keys);
     /** Whether this gateway tries requests with a prompt part that was blocked; there is one such gateway for each part. */
@@ -91,7 +97,9 @@
     const Platform::PlatformSettings &settings_;
     PlatformTable &table_;
     EndpointDirectory &directory_;
-    QuotaAdmission &quotas_;
+    QuotaLinks &links_;
+    /** All that apply the division of limits. */
+    std::vector<LimitAdmission *> limits_;
     CatalogueReader catalogue_;
     std::uint64_t incarnation_;
     Metrics &metrics_;
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -554,7 +554,7 @@
     deadlineTimer_.cancel();
     releaseHeldPrompt();
     if (!attemptPolicy_.mayHaveRun()) {
-        context_.quotas.refund(request_.quota);
+        context_.quotas.limits().refund(request_.quota);
     }
     exchange_->onCallerGone(nullptr);
     exchange_->onDrained(nullptr);
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -32,7 +32,7 @@
     /** Empty where the route needs no key. */
     std::string customer;
     /** What it took of the customer's quota; refunded if the request did not run. */
-    QuotaCharge quota;
+    LimitCharge quota;
 };
 
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -95,8 +95,9 @@
     , directory_(EndpointDirectoryOptions{})
     , placement_(PlacementOptions{}, loads_)
     , pool_(context, EndpointPoolOptions{})
+    , quotaLinks_(context, log)
     , quotas_(
-          context, settings_.vmName, incarnation_, quotaOptions(settings_), [this] { return catalogue_; }, metrics, log)
+          context, settings_.vmName, incarnation_, quotaOptions(settings_), quotaLinks_, [this] { return catalogue_; }, metrics, log)
     , endpointAdmission_(metrics, log)
     , fleet_(
           settings_,
@@ -106,7 +107,8 @@
           storeOptions(),
           pool_,
           directory_,
-          quotas_,
+          quotaLinks_,
+          {&quotas_.limits()},
           [this] { return catalogue_; },
           incarnation_,
           metrics_,
@@ -399,7 +401,7 @@
 
 void PlatformGateway::spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request, const CustomerQuota &customer)
 {
-    if (!quotas_.isReady()) {
+    if (!quotas_.limits().isReady()) {
         refuseRequest(exchange, request.facts, Unavailable, "holders of the quota not known yet", NotReadyRetryAfter);
         return;
     }
@@ -410,14 +412,15 @@
     const auto isDecided = std::make_shared<bool>(false);
     // The request keeps its catalogue, and so the customer, alive.
     const auto pending = std::make_shared<AdmittedRequest>(std::move(request));
-    const auto id = quotas_.admit(customer, units, [this, exchange, pending, &customer, units, isDecided](const QuotaVerdict &verdict) {
-        *isDecided = true;
-        exchange->onCallerGone(nullptr);
-        onQuotaVerdict(exchange, std::move(*pending), customer, units, verdict);
-    });
+    const auto id
+        = quotas_.limits().admit(customer, units, [this, exchange, pending, &customer, units, isDecided](const QuotaVerdict &verdict) {
+              *isDecided = true;
+              exchange->onCallerGone(nullptr);
+              onQuotaVerdict(exchange, std::move(*pending), customer, units, verdict);
+          });
     if (!*isDecided) {
         exchange->onCallerGone([this, id, pending] {
-            quotas_.cancel(id);
+            quotas_.limits().cancel(id);
             log_.info("request done", {{"request", pending->facts.requestId}, {"outcome", "caller left before its quota was decided"}});
         });
     }
@@ -444,7 +447,7 @@
                {"rate", std::to_string(static_cast<std::int64_t>(customer.rate))},
                {"burst", std::to_string(static_cast<std::int64_t>(customer.burst))},
                {"outcome", isUsedUp ? "used up" : "no holder answers"},
-               {"division", std::to_string(quotas_.divisionNumber())},
+               {"division", std::to_string(quotas_.limits().divisionNumber())},
                {"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(asked).count())},
                {"retryMs", std::to_string(wait.count())}});
     if (isUsedUp) {
@@ -490,7 +493,7 @@
 
 bool PlatformGateway::isReady(TimePoint now) const
 {
-    return !isStopping_ && catalogue_ && configurationFreshness_.isFresh(now) && (!hasQuotas() || quotas_.isReady());
+    return !isStopping_ && catalogue_ && configurationFreshness_.isFresh(now) && (!hasQuotas() || quotas_.limits().isReady());
 }
 
 bool PlatformGateway::hasQuotas() const
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -17,6 +17,8 @@
 #include "metrics.h"
 #include "placement.h"
 #include "platformsettings.h"
+#include "quotaadmission.h"
+#include "quotalinks.h"
 #include "readfreshness.h"
 #include "storeformat.h"
 #include "tablemirror.h"
@@ -107,6 +109,7 @@
     EndpointLoads loads_;
     PlacementPolicy placement_;
     EndpointPool pool_;
+    QuotaLinks quotaLinks_;
     QuotaAdmission quotas_;
     EndpointAdmission endpointAdmission_;
     FleetCoordinator fleet_;
--- a/src/chestnutcove/quotalinks.cpp
+++ b/src/chestnutcove/quotalinks.cpp
@@ -33,13 +33,23 @@
 
 }
 
-QuotaLinks::QuotaLinks(asio::io_context &context, const Log &log, Handlers handlers)
+QuotaLinks::QuotaLinks(asio::io_context &context, const Log &log)
     : ioContext_(context)
     , log_(log)
-    , handlers_(std::move(handlers))
 {
 }
 
+void QuotaLinks::setHandlers(wire::LimitKind kind, Handlers handlers)
+{
+    handlers_[kind] = std::move(handlers);
+}
+
+const QuotaLinks::Handlers *QuotaLinks::handlersOf(wire::LimitKind kind) const
+{
+    const auto it = handlers_.find(kind);
+    return it == handlers_.end() ? nullptr : &it->second;
+}
+
 absl::Status QuotaLinks::start(const LinkKeys &keys, const std::string &ip, std::uint16_t port)
 {
     keys_ = keys;
@@ -71,11 +81,15 @@
 void QuotaLinks::onServerMessage(const LinkServer::PeerId &peer, const wire::Envelope &message)
 {
     if (message.body_case() == wire::Envelope::kTokenRequest) {
-        wire::Envelope answer;
-        *answer.mutable_token_grant() = handlers_.onRequest(message.token_request());
-        server_->send(peer, answer);
+        if (const Handlers *handlers = handlersOf(message.token_request().kind())) {
+            wire::Envelope answer;
+            *answer.mutable_token_grant() = handlers->onRequest(message.token_request());
+            server_->send(peer, answer);
+        }
     } else if (message.body_case() == wire::Envelope::kTokenReturn) {
-        handlers_.onReturn(message.token_return());
+        if (const Handlers *handlers = handlersOf(message.token_return().kind())) {
+            handlers->onReturn(message.token_return());
+        }
     }
 }
 
@@ -91,8 +105,11 @@
             address,
             keys_.publicKey,
             [this](const wire::Envelope &answer) {
-                if (answer.body_case() == wire::Envelope::kTokenGrant) {
-                    handlers_.onGrant(answer.token_grant());
+                if (answer.body_case() != wire::Envelope::kTokenGrant) {
+                    return;
+                }
+                if (const Handlers *handlers = handlersOf(answer.token_grant().kind())) {
+                    handlers->onGrant(answer.token_grant());
                 }
             },
             clientOptions());
--- a/src/chestnutcove/quotalinks.h
+++ b/src/chestnutcove/quotalinks.h
@@ -1,5 +1,5 @@
 /**
- * Links over which gateways ask each other for units of quotas. A link is opened when its gateway is first asked, and has no heartbeats:
+ * Links over which gateways ask each other for units of limits. A link is opened when its gateway is first asked, and has no heartbeats:
  * each ask has a timeout of its own, so the cost of the links doesn't grow with the fleet.
  */
 #pragma once
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,7 +30,10 @@
         std::function<void(const wire::TokenReturn &)> onReturn;
     };
 
-    QuotaLinks(asio::io_context &context, const Log &log, Handlers handlers);
+    QuotaLinks(asio::io_context &context, const Log &log);
+
+    /** Sets who handles the messages about limits of this kind. */
+    void setHandlers(wire::LimitKind kind, Handlers handlers);
 
     /**
      * Begins to listen.
@@ -50,11 +54,13 @@
     std::size_t linkCount() const;
 
 private:
+    /** The handlers of messages of this kind, or null. */
+    const Handlers *handlersOf(wire::LimitKind kind) const;
     void onServerMessage(const LinkServer::PeerId &peer, const wire::Envelope &message);
 
     asio::io_context &ioContext_;
     const Log &log_;
-    Handlers handlers_;
+    std::map<wire::LimitKind, Handlers> handlers_;
     std::string address_;
     LinkKeys keys_;
     std::optional<LinkContext> linkContext_;
--- a/src/libroutes/routecatalogue.h
+++ b/src/libroutes/routecatalogue.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "ratelimit.h"
 #include "timepoint.h"
 
 #include <cstddef>
@@ -94,18 +95,14 @@
     std::optional<ScaleBounds> scale;
 };
 
-struct CustomerQuota
+struct CustomerQuota : RateLimit
 {
-    std::string name;
     /** Overrides the route's priority if set. */
     std::optional<int> priority;
     /** The quota is counted in tokens instead of requests. */
     bool countsTokens = false;
     /** Tokens charged for a request that doesn't state its number of tokens. */
     double defaultRequestTokens = 1;
-    /** Units per second; 0 for no limit. */
-    double rate = 0;
-    double burst = 0;
 };
 
 /** Limits on the size and duration of callers' requests; 0 means no limit. */
--- a/src/libserving/quotadivision.cpp
+++ b/src/libserving/quotadivision.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-double fractionAmong(std::vector<std::string> vms, const std::string &customer, const std::string &vm)
+double fractionAmong(std::vector<std::string> vms, const std::string &limit, const std::string &vm, std::size_t maxHolders)
 {
-    const auto holders = rendezvous(customer, std::move(vms), MaxQuotaHolders);
+    const auto holders = rendezvous(limit, std::move(vms), maxHolders);
     const bool holds = std::find(holders.begin(), holders.end(), vm) != holders.end();
     return holds ? 1.0 / static_cast<double>(holders.size()) : 0;
 }
@@ -30,14 +30,14 @@
     return result;
 }
 
-std::vector<std::string> QuotaDivision::holdersOf(const std::string &customer) const
+std::vector<std::string> QuotaDivision::holdersOf(const std::string &limit, std::size_t maxHolders) const
 {
-    return rendezvous(customer, vms(), MaxQuotaHolders);
+    return rendezvous(limit, vms(), maxHolders);
 }
 
-std::vector<std::string> QuotaDivision::askingOrder(const std::string &customer, const std::string &vm) const
+std::vector<std::string> QuotaDivision::askingOrder(const std::string &limit, const std::string &vm, std::size_t maxHolders) const
 {
-    auto order = rendezvous(vm + '/' + customer, holdersOf(customer), MaxQuotaHolders);
+    auto order = rendezvous(vm + '/' + limit, holdersOf(limit, maxHolders), maxHolders);
     const auto own = std::find(order.begin(), order.end(), vm);
     if (own != order.end()) {
         std::rotate(order.begin(), own, own + 1);
@@ -45,19 +45,19 @@
     return order;
 }
 
-std::size_t QuotaDivision::holderCount() const
+std::size_t QuotaDivision::holderCount(std::size_t maxHolders) const
 {
-    return std::min(gateways.size(), MaxQuotaHolders);
+    return std::min(gateways.size(), maxHolders);
 }
 
-double QuotaDivision::fractionOf(const std::string &customer, const std::string &vm) const
+double QuotaDivision::fractionOf(const std::string &limit, const std::string &vm, std::size_t maxHolders) const
 {
-    return fractionAmong(vms(), customer, vm);
+    return fractionAmong(vms(), limit, vm, maxHolders);
 }
 
-double QuotaDivision::unsettledFractionOf(const std::string &customer, const std::string &vm) const
+double QuotaDivision::unsettledFractionOf(const std::string &limit, const std::string &vm, std::size_t maxHolders) const
 {
-    return std::min(fractionOf(customer, vm), fractionAmong(previousVms, customer, vm));
+    return std::min(fractionOf(limit, vm, maxHolders), fractionAmong(previousVms, limit, vm, maxHolders));
 }
 
 QuotaDivision QuotaDivision::successor(std::vector<GatewayAddress> successors) const
--- a/src/libserving/quotadivision.h
+++ b/src/libserving/quotadivision.h
@@ -1,13 +1,15 @@
 /**
- * The stored assignment of the customers' limits to gateways. Each customer's limit is held in equal shares by a few gateways, the share
- * holders, which rendezvous hashing chooses from the gateways of the division. All gateways that have read a division therefore know the
- * holders of each customer, and the row's size doesn't depend on the number of customers.
+ * The stored assignment of limits, those of customers and those that endpoints name, to gateways. Each limit is held in equal shares by a
+ * few gateways, the share holders, which rendezvous hashing chooses from the gateways of the division. All gateways that have read a
+ * division therefore know the holders of each limit, and the row's size doesn't depend on the number of limits.
  *
  * A share moves to another gateway only when the division is settled, that is, when no gateway applies the previous division any more. The
  * shares in use therefore never add up to more than the limit.
  */
 #pragma once
 
+#include "ratelimit.h"
+
 #include <absl/status/statusor.h>
 
 #include <cstddef>
@@ -17,9 +19,6 @@
 
 namespace Chestnutcove {
 
-/** Number of gateways that share a customer's limit, where there are as many. */
-inline constexpr std::size_t MaxQuotaHolders = 4;
-
 /** A gateway and the "IP:port" at which the others reach it. */
 struct GatewayAddress
 {
@@ -41,16 +40,16 @@
     std::vector<std::string> previousVms;
 
     std::vector<std::string> vms() const;
-    /** The VMs that hold shares of the customer's limit. */
-    std::vector<std::string> holdersOf(const std::string &customer) const;
+    /** The VMs that hold shares of the limit. */
+    std::vector<std::string> holdersOf(const std::string &limit, std::size_t maxHolders = MaxQuotaHolders) const;
     /** The same in the order in which a VM asks them: itself first, and the others in an order of its own, so that all get as many asks. */
-    std::vector<std::string> askingOrder(const std::string &customer, const std::string &vm) const;
-    /** Number of holders of each customer. */
-    std::size_t holderCount() const;
-    /** A VM's fraction of the customer's limit in this division, ignoring the previous one. */
-    double fractionOf(const std::string &customer, const std::string &vm) const;
+    std::vector<std::string> askingOrder(const std::string &limit, const std::string &vm, std::size_t maxHolders = MaxQuotaHolders) const;
+    /** Number of holders of each limit. */
+    std::size_t holderCount(std::size_t maxHolders = MaxQuotaHolders) const;
+    /** A VM's fraction of the limit in this division, ignoring the previous one. */
+    double fractionOf(const std::string &limit, const std::string &vm, std::size_t maxHolders = MaxQuotaHolders) const;
     /** The fraction that a VM may spend while the division is not settled: the smaller one of this and the previous division. */
-    double unsettledFractionOf(const std::string &customer, const std::string &vm) const;
+    double unsettledFractionOf(const std::string &limit, const std::string &vm, std::size_t maxHolders = MaxQuotaHolders) const;
     /** The division among @p successors that follows this one: numbered, not settled, and with this division as the previous one. */
     QuotaDivision successor(std::vector<GatewayAddress> successors) const;
     std::string toText() const;
--- a/src/libserving/quotashares.cpp
+++ b/src/libserving/quotashares.cpp
@@ -67,7 +67,7 @@
         return;
     }
     isSuspended_ = true;
-    for (auto &[customer, share] : shares_) {
+    for (auto &[name, share] : shares_) {
         share.bucket.setSuspended(true, std::min(freshness_.freshUntil(), now));
     }
 }
@@ -78,7 +78,7 @@
         return;
     }
     isSuspended_ = false;
-    for (auto &[customer, share] : shares_) {
+    for (auto &[name, share] : shares_) {
         share.bucket.setSuspended(false, now);
     }
 }
@@ -92,25 +92,25 @@
 {
     accruingSince_ = now;
     accruesSettled_ = isSettled(now);
-    for (auto &[customer, share] : shares_) {
-        share.fraction = currentFraction(customer);
+    for (auto &[name, share] : shares_) {
+        share.fraction = currentFraction(name, share.maxHolders);
         applyLimits(share, now);
     }
 }
 
-double QuotaShares::currentFraction(const std::string &customer) const
+double QuotaShares::currentFraction(const std::string &limit, std::size_t maxHolders) const
 {
-    return accruesSettled_ ? current_.fractionOf(customer, vm_) : current_.unsettledFractionOf(customer, vm_);
+    return accruesSettled_ ? current_.fractionOf(limit, vm_, maxHolders) : current_.unsettledFractionOf(limit, vm_, maxHolders);
 }
 
-double QuotaShares::wholeCapacity(const CustomerQuota &customer) const
+double QuotaShares::wholeCapacity(const RateLimit &limit) const
 {
-    return customer.burst + options_.overage * (customer.rate * toSeconds(options_.window) + customer.burst) + options_.allowance;
+    return limit.burst + options_.overage * (limit.rate * toSeconds(options_.window) + limit.burst) + options_.allowance;
 }
 
-double QuotaShares::shareCapacity(const CustomerQuota &customer) const
+double QuotaShares::shareCapacity(const RateLimit &limit) const
 {
-    return wholeCapacity(customer) / static_cast<double>(std::max<std::size_t>(current_.holderCount(), 1));
+    return wholeCapacity(limit) / static_cast<double>(std::max<std::size_t>(current_.holderCount(limit.maxHolders), 1));
 }
 
 void QuotaShares::applyLimits(Share &share, TimePoint now)
@@ -118,21 +118,23 @@
     share.bucket.setLimits(share.rate * share.fraction, share.capacity * share.fraction, now);
 }
 
-QuotaShares::Share &QuotaShares::shareOf(const CustomerQuota &customer, TimePoint now)
+QuotaShares::Share &QuotaShares::shareOf(const RateLimit &limit, TimePoint now)
 {
     suspendIfStale(now);
     if (accruingSince_ && isSettled(now) != accruesSettled_) {
         restartAccrual(now);
     }
-    const double capacity = wholeCapacity(customer);
-    const auto [it, isNew] = shares_.try_emplace(customer.name);
+    const double capacity = wholeCapacity(limit);
+    // A share starts empty, since the units spent by a former run of this process are unknown.
+    const auto [it, isNew] = shares_.try_emplace(limit.name);
     Share &share = it->second;
-    if (isNew) {
-        // A share starts empty, since the units spent by a former run of this process are unknown.
-        share.fraction = currentFraction(customer.name);
+    const bool hasOtherHolders = share.maxHolders != limit.maxHolders;
+    if (isNew || hasOtherHolders) {
+        share.maxHolders = limit.maxHolders;
+        share.fraction = currentFraction(limit.name, limit.maxHolders);
     }
-    if (isNew || share.rate != customer.rate || share.capacity != capacity) {
-        share.rate = customer.rate;
+    if (isNew || hasOtherHolders || share.rate != limit.rate || share.capacity != capacity) {
+        share.rate = limit.rate;
         share.capacity = capacity;
         applyLimits(share, isNew ? accruingSince_.value_or(now) : now);
     }
@@ -174,9 +176,9 @@
     return start - now;
 }
 
-ShareDecision QuotaShares::take(const CustomerQuota &customer, double units, TimePoint now)
+ShareDecision QuotaShares::take(const RateLimit &limit, double units, TimePoint now)
 {
-    Share &share = shareOf(customer, now);
+    Share &share = shareOf(limit, now);
     const ShareDecision decision = decide(share, units, now);
     if (decision.granted) {
         share.bucket.take(units, now);
@@ -184,9 +186,9 @@
     return decision;
 }
 
-ShareDecision QuotaShares::grant(const CustomerQuota &customer, const GrantId &id, double units, TimePoint now)
+ShareDecision QuotaShares::grant(const RateLimit &limit, const GrantId &id, double units, TimePoint now)
 {
-    Share &share = shareOf(customer, now);
+    Share &share = shareOf(limit, now);
     dropOldGrants(share, now);
     const bool isRepeated = std::any_of(share.grants.begin(), share.grants.end(), [&id](const Grant &grant) { return grant.id == id; });
     if (isRepeated) {
@@ -207,17 +209,22 @@
     }
 }
 
-void QuotaShares::refund(const std::string &customer, double units, TimePoint now)
+void QuotaShares::refund(const std::string &limit, double units, TimePoint now)
 {
-    const auto it = shares_.find(customer);
+    const auto it = shares_.find(limit);
     if (it != shares_.end()) {
         it->second.bucket.putBack(units, now);
     }
 }
 
-void QuotaShares::onGrantReturned(const std::string &customer, const GrantId &id, double units, TimePoint now)
+void QuotaShares::remove(const std::string &limit)
+{
+    shares_.erase(limit);
+}
+
+void QuotaShares::onGrantReturned(const std::string &limit, const GrantId &id, double units, TimePoint now)
 {
-    const auto owner = shares_.find(customer);
+    const auto owner = shares_.find(limit);
     if (owner == shares_.end()) {
         return;
     }
--- a/src/libserving/quotashares.h
+++ b/src/libserving/quotashares.h
@@ -1,5 +1,5 @@
 /**
- * This gateway's shares of the customers' rate limits (see QuotaDivision). A share is spent by this gateway's own requests and by grants to
+ * This gateway's shares of rate limits (see QuotaDivision). A share is spent by this gateway's own requests and by grants to
  * gateways that ask for units; either way a request gets all of its units or none, so that large requests don't lose their units to small
  * ones. A grant is spent only on the request that it was asked for, which arrived before, so it counts as spent at once: what is admitted
  * in a window, of requests that arrived in it, was granted in it.
@@ -10,9 +10,9 @@
 #pragma once
 
 #include "quotadivision.h"
+#include "ratelimit.h"
 #include "readfreshness.h"
 #include "recentmaximum.h"
-#include "routecatalogue.h"
 #include "sharebucket.h"
 #include "timepoint.h"
 
@@ -40,7 +40,7 @@
 
 struct ShareDecision
 {
-    /** Whether this gateway may spend a share of the customer's limit at present. */
+    /** Whether this gateway may spend a share of the limit at present. */
     bool isHolder = false;
     bool granted = false;
     /** For a refusal: time until the share holds enough units for this request, after the requests that were refused before it. */
@@ -65,16 +65,19 @@
     bool isUsable(TimePoint now) const;
 
     /** Takes all units of one of this gateway's own requests, or none. */
-    ShareDecision take(const CustomerQuota &customer, double units, TimePoint now);
+    ShareDecision take(const RateLimit &limit, double units, TimePoint now);
     /** Grants all of the units to another gateway, or none. */
-    ShareDecision grant(const CustomerQuota &customer, const GrantId &id, double units, TimePoint now);
+    ShareDecision grant(const RateLimit &limit, const GrantId &id, double units, TimePoint now);
     /** Returns the units of an own request that was not run. */
-    void refund(const std::string &customer, double units, TimePoint now);
+    void refund(const std::string &limit, double units, TimePoint now);
     /** Another gateway returned units of a grant that it has not spent and will not spend. */
-    void onGrantReturned(const std::string &customer, const GrantId &id, double units, TimePoint now);
+    void onGrantReturned(const std::string &limit, const GrantId &id, double units, TimePoint now);
 
-    /** The most units that one holder's share of the customer's limit can contain. */
-    double shareCapacity(const CustomerQuota &customer) const;
+    /** Forgets a limit that no longer exists. */
+    void remove(const std::string &limit);
+
+    /** The most units that one holder's share of the limit can contain. */
+    double shareCapacity(const RateLimit &limit) const;
     /** The division that was read last; its number is 0 if none was read. */
     const QuotaDivision &division() const;
 
@@ -96,6 +99,7 @@
         /** Units per second and the capacity of the whole limit, as they were applied to the bucket. */
         double rate = 0;
         double capacity = 0;
+        std::size_t maxHolders = MaxQuotaHolders;
         /** Time until which accruing units are reserved for requests that were refused and told to retry. */
         TimePoint reservedUntil{};
         /** The largest recent request for units. */
@@ -103,10 +107,10 @@
     };
 
     /** The fraction that this gateway may spend under the current division if that is fresh. */
-    double currentFraction(const std::string &customer) const;
-    double wholeCapacity(const CustomerQuota &customer) const;
-    /** The customer's share with its present limits applied. */
-    Share &shareOf(const CustomerQuota &customer, TimePoint now);
+    double currentFraction(const std::string &limit, std::size_t maxHolders) const;
+    double wholeCapacity(const RateLimit &limit) const;
+    /** This gateway's share of the limit, with the limit's present figures applied. */
+    Share &shareOf(const RateLimit &limit, TimePoint now);
     ShareDecision decide(Share &share, double units, TimePoint now);
     /** Reserves units that have yet to accrue for a refused request. @return the time until they have accrued. */
     Duration reserveUnits(Share &share, double units, TimePoint now) const;
--- a/tests/serving/quotafleet_test.cpp
+++ b/tests/serving/quotafleet_test.cpp
@@ -6,6 +6,7 @@
 #include "quotacollector.h"
 #include "quotadivider.h"
 #include "quotashares.h"
+#include "routecatalogue.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/serving/quotashares_test.cpp
+++ b/tests/serving/quotashares_test.cpp
@@ -3,6 +3,7 @@
  * requests are granted as often as small ones.
  */
 #include "quotashares.h"
+#include "routecatalogue.h"
 
 #include <gtest/gtest.h>
 
