EndpointAdmission: a request for an endpoint that names a limit takes a unit of it first

What users saw: an endpoint in need named a limit of 11.7 requests a second and got 159 in 4 s (75 allowed). Cause: nothing read what endpoints name; placement knows busy slots and reported load only. Class: a limit that belongs to all gateways together, and that none of them applies. Ruled out: retries (each request had one attempt), and a limit that each gateway keeps to for itself (no gateway's rate changed when the limit was named).

The limit becomes one more that the gateways share: its units accrue in shares at up to four holders, which rendezvous hashing chooses from the division that is there for customers' quotas, and a request takes one unit before it is sent, prefill and run apart. Without a unit the request goes to another endpoint at once, and this gateway asks for no other unit of that limit until one has accrued; if all endpoints of a stage are used up, it is refused as not run with the time until then. Each message about a limit has what its sender knows of it, with the time of the answer by the store's clock, so holders learn of limits from those who ask, and no old message brings a limit back. A limit ends with a later answer of the same run to work that was done. A unit goes back if the request wasn't sent.

Found on the way by the process test: LimitAdmission splits what is larger than half a share, so each unit was taken in two lots and a third of the limit was lost (28 of 39 requests); units of endpoints aren't split.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -386,6 +386,11 @@
     return std::max<std::size_t>(1, divider_.current().gateways.size());
 }
 
+const RemoteClock &FleetCoordinator::storeClock() const
+{
+    return sharedRows_.clock();
+}
+
 CrashReporter &FleetCoordinator::crashReporter()
 {
     return crashReporter_;
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -67,6 +67,8 @@
     std::size_t gatewayCount() const;
     /** Knows the prompts that crash endpoints. */
     CrashReporter &crashReporter();
+    /** The store's clock, by which gateways compare times. */
+    const RemoteClock &storeClock() const;
 
 private:
     void readLease();
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -107,7 +107,7 @@
     }
     const TimePoint now = suspendAwareNow();
     placementQuery_.maxWait = deadline_ - now;
-    placement_ = context_.placement.place(placementQuery_, context_.directory.usableEndpoints(request_.service->name, now), now);
+    placement_ = context_.placement.place(placementQuery_, usableEndpoints(now), now);
     recordPlacedWork(placement_);
     switch (placement_.result) {
     case Placement::Result::NoEndpoint:
@@ -122,9 +122,45 @@
         break;
     }
     if (placement_.prefillEngine) {
-        sendPrefill(placement_);
+        sendWithinLimit(*placement_.prefillEngine, [this] { sendPrefill(placement_); });
     } else {
-        sendRun(*placement_.runEndpoint, std::nullopt);
+        sendWithinLimit(*placement_.runEndpoint, [this] { sendRun(*placement_.runEndpoint, std::nullopt); });
+    }
+}
+
+std::vector<EndpointRecord> ForwardedRequest::usableEndpoints(TimePoint now) const
+{
+    return context_.endpoints.withUnits(context_.directory.usableEndpoints(request_.service->name, now), now);
+}
+
+void ForwardedRequest::sendWithinLimit(const EndpointRecord &endpoint, std::function<void()> send)
+{
+    if (!context_.endpoints.isLimited(endpoint)) {
+        send();
+        return;
+    }
+    const auto isDecided = std::make_shared<bool>(false);
+    const auto id = context_.endpoints.takeUnit(
+        endpoint, [self = shared_from_this(), isDecided, endpoint, send = std::move(send)](std::optional<LimitCharge> unit) {
+            *isDecided = true;
+            self->pendingUnit_.reset();
+            self->unit_ = std::move(unit);
+            if (self->unit_) {
+                send();
+                return;
+            }
+            self->placementQuery_.excluded.insert(endpoint.id);
+            self->retryRequest();
+        });
+    if (!*isDecided) {
+        pendingUnit_ = id;
+    }
+}
+
+void ForwardedRequest::returnUnusedUnit()
+{
+    if (unit_) {
+        context_.endpoints.returnUnit(*std::exchange(unit_, std::nullopt));
     }
 }
 
@@ -231,6 +267,7 @@
     Platform::ForwardingMetadata facts = given;
     facts.timeLeft = timeLeft();
     call_->connection = connection;
+    unit_.reset();
     ConnectionCall call;
     call.head = Platform::encodeRequest(exchange_->head(), facts);
     call.body = exchange_->body();
@@ -355,6 +392,7 @@
         work.busySlots = toSeconds(suspendAwareNow() - call.startedAt) * 1000;
         context_.fleet.recordWork(request_.service->name, work);
     }
+    returnUnusedUnit();
     arrivalCounter_.onCallEnded(call.work, outcome);
     context_.loads.onCallEnded(call.endpoint.id, call.promptWork, outcome, suspendAwareNow());
     if (call.connection) {
@@ -455,13 +493,14 @@
 bool ForwardedRequest::sendRunWithHeldPrompt()
 {
     const TimePoint now = suspendAwareNow();
-    const auto engine
-        = context_.placement.chooseRunEndpoint(placementQuery_, context_.directory.usableEndpoints(request_.service->name, now), now);
+    const auto engine = context_.placement.chooseRunEndpoint(placementQuery_, usableEndpoints(now), now);
     if (!engine) {
         return false;
     }
-    ++heldPromptRuns_;
-    sendRun(*engine, heldPrompt_);
+    sendWithinLimit(*engine, [this, endpoint = *engine] {
+        ++heldPromptRuns_;
+        sendRun(endpoint, heldPrompt_);
+    });
     return true;
 }
 
@@ -470,7 +509,9 @@
     if (attemptPolicy_.mayHaveRun()) {
         sendOwnAnswer(timeLeft() <= Milliseconds::zero() ? GatewayTimeout : BadGateway, std::nullopt);
     } else {
-        refuseRequest(retryAfterDelay(Duration::zero()));
+        const TimePoint now = suspendAwareNow();
+        const auto endpoints = context_.directory.usableEndpoints(request_.service->name, now);
+        refuseRequest(retryAfterDelay(context_.endpoints.waitForUnits(endpoints, now)));
     }
 }
 
@@ -552,6 +593,10 @@
 {
     isDone_ = true;
     deadlineTimer_.cancel();
+    if (pendingUnit_) {
+        context_.endpoints.cancel(*std::exchange(pendingUnit_, std::nullopt));
+    }
+    returnUnusedUnit();
     releaseHeldPrompt();
     if (!attemptPolicy_.mayHaveRun()) {
         context_.quotas.limits().refund(request_.quota);
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -15,9 +15,11 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Chestnutcove {
 
@@ -47,6 +49,12 @@
     void recordPlacedWork(const Placement &placement);
     /** Takes a retry from the retry budget if this call is one. @return false if the budget is used up and the request was ended. */
     bool chargeRetryBudget(CallWork work);
+    /** The endpoints of the service that accept requests and whose limit, if they name one, may have units. */
+    std::vector<EndpointRecord> usableEndpoints(TimePoint now) const;
+    /** Calls @p send once the request has a unit of the endpoint's limit; without one the request goes to another endpoint or is refused.
+     */
+    void sendWithinLimit(const EndpointRecord &endpoint, std::function<void()> send);
+    void returnUnusedUnit();
     void sendPrefill(const Placement &placement);
     void sendRun(const EndpointRecord &endpoint, const std::optional<Platform::PrefilledPrompt> &prompt);
     void sendCall(const EndpointRecord &endpoint, CallWork work, std::uint64_t uncachedTokens, Platform::ForwardingMetadata facts);
@@ -92,6 +100,10 @@
     /** On the suspend-aware clock. */
     TimePoint deadline_;
     std::optional<OutgoingCall> call_;
+    /** Set while a unit of an endpoint's limit is asked for. */
+    std::optional<std::uint64_t> pendingUnit_;
+    /** The unit of the call that is about to be sent. */
+    std::optional<LimitCharge> unit_;
     /** Set while a prefill engine holds the prompt of this request. */
     std::optional<Platform::PrefilledPrompt> heldPrompt_;
     std::optional<EndpointRecord> heldPromptEngine_;
--- a/src/chestnutcove/limitadmission.cpp
+++ b/src/chestnutcove/limitadmission.cpp
@@ -93,8 +93,10 @@
     request.customer = limit.name;
     request.units = units;
     request.holders = holdersOf(limit);
-    const double evenPart = units / static_cast<double>(std::max<std::size_t>(request.holders.size(), 1));
-    request.maxLot = std::max(shares_.shareCapacity(limit) * MaxLotFraction, evenPart);
+    if (options_.splitsRequests) {
+        const double evenPart = units / static_cast<double>(std::max<std::size_t>(request.holders.size(), 1));
+        request.maxLot = std::max(shares_.shareCapacity(limit) * MaxLotFraction, evenPart);
+    }
     verdictHandlers_.emplace(id, std::move(onVerdict));
     collector_.start(std::move(request));
     pollCollector();
--- a/src/chestnutcove/limitadmission.h
+++ b/src/chestnutcove/limitadmission.h
@@ -34,6 +34,8 @@
     wire::LimitKind kind = wire::CUSTOMER;
     QuotaShareOptions shares;
     QuotaCollectorOptions collector;
+    /** A request may get its units from several holders, since one share may never contain them all. */
+    bool splitsRequests = true;
     /** Beginning of the names of this kind's metrics. */
     std::string metricPrefix;
 };
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -98,7 +98,14 @@
     , quotaLinks_(context, log)
     , quotas_(
           context, settings_.vmName, incarnation_, quotaOptions(settings_), quotaLinks_, [this] { return catalogue_; }, metrics, log)
-    , endpointAdmission_(metrics, log)
+    , endpointAdmission_(
+          context,
+          settings_.vmName,
+          incarnation_,
+          quotaLinks_,
+          [this]() -> const RemoteClock & { return fleet_.storeClock(); },
+          metrics,
+          log)
     , fleet_(
           settings_,
           context,
@@ -108,7 +115,7 @@
           pool_,
           directory_,
           quotaLinks_,
-          {&quotas_.limits()},
+          {&quotas_.limits(), &endpointAdmission_.limits()},
           [this] { return catalogue_; },
           incarnation_,
           metrics_,
--- a/src/chestnutcove/sharedrows.cpp
+++ b/src/chestnutcove/sharedrows.cpp
@@ -185,6 +185,11 @@
     return isWritingDivision_;
 }
 
+const RemoteClock &SharedRows::clock() const
+{
+    return mirror_.clock();
+}
+
 PlatformTable &SharedRows::table()
 {
     return table_;
--- a/src/chestnutcove/sharedrows.h
+++ b/src/chestnutcove/sharedrows.h
@@ -50,6 +50,8 @@
     bool isWritingDivision() const;
     /** The table of these rows, for other writers. */
     PlatformTable &table();
+    /** The store's clock, by which gateways compare times. */
+    const RemoteClock &clock() const;
 
 private:
     /** @return whether this class knows the row. */
--- a/src/chestnutcove/tablemirror.h
+++ b/src/chestnutcove/tablemirror.h
@@ -78,6 +78,12 @@
         startRead();
     }
 
+    /** Maps the service's clock to the local one. */
+    const RemoteClock &clock() const
+    {
+        return clock_;
+    }
+
 private:
     void startRead()
     {
--- a/src/libbase/remoteclock.cpp
+++ b/src/libbase/remoteclock.cpp
@@ -25,4 +25,14 @@
     return std::clamp(TimePoint(*offset_ + *remoteTime), sentAt, receivedAt);
 }
 
+std::optional<Milliseconds> RemoteClock::remoteTime(TimePoint local) const
+{
+    return offset_ ? std::optional(std::chrono::ceil<Milliseconds>(local.time_since_epoch() - *offset_)) : std::nullopt;
+}
+
+std::optional<TimePoint> RemoteClock::localTime(Milliseconds remote) const
+{
+    return offset_ ? std::optional(TimePoint(*offset_ + remote)) : std::nullopt;
+}
+
 }
--- a/src/libbase/remoteclock.h
+++ b/src/libbase/remoteclock.h
@@ -19,6 +19,10 @@
      * @param remoteTime the time that the answer states; without it the result is @p sentAt.
      */
     TimePoint readingTime(TimePoint sentAt, std::optional<Milliseconds> remoteTime, TimePoint receivedAt);
+    /** What the remote clock showed at a local time, estimated late rather than early; nothing before the first exchange. */
+    std::optional<Milliseconds> remoteTime(TimePoint local) const;
+    /** The local time at which the remote clock showed this, estimated early rather than late; nothing before the first exchange. */
+    std::optional<TimePoint> localTime(Milliseconds remote) const;
 
 private:
     /** Lower bound of local time minus remote time, and the local time at which it was determined. */
--- a/tests/base/remoteclock_test.cpp
+++ b/tests/base/remoteclock_test.cpp
@@ -41,6 +41,20 @@
     EXPECT_GE(clock_.readingTime(start_ + 4s, 0ms, start_ + 5s), start_ + 4s);
 }
 
+TEST_F(RemoteClockTest, TimesOfBothClocks_Converted_AreTheSameInstant)
+{
+    EXPECT_FALSE(clock_.remoteTime(start_));
+    EXPECT_FALSE(clock_.localTime(70ms));
+    clock_.readingTime(start_, 70ms, start_ + 4ms);
+    const auto remote = clock_.remoteTime(start_ + 5s);
+    ASSERT_TRUE(remote);
+    EXPECT_NEAR(static_cast<double>(remote->count()), 5070, 4);
+    const auto local = clock_.localTime(*remote);
+    ASSERT_TRUE(local);
+    EXPECT_LE(*local, start_ + 5s + 1ms);
+    EXPECT_GE(*local, start_ + 5s - 5ms);
+}
+
 /** Calls with random delays in both directions, to a process whose clock is up to 0.05 % faster or slower. */
 RC_GTEST_PROP(RemoteClock, AnyDelays_ReadingTime_IsNeverLate, ())
 {
--- a/tests/serving/endpointlimits_test.cpp
+++ b/tests/serving/endpointlimits_test.cpp
@@ -20,6 +20,18 @@
         return record;
     }
 
+    bool observe(std::optional<double> perSecond, TimePoint seenAt)
+    {
+        return limits_.observe(run_, {perSecond, seenAt});
+    }
+
+    /** Requests a second of the run's limit; 0 if it names none. */
+    double limit() const
+    {
+        const RateLimit *limit = limits_.find(run_);
+        return limit == nullptr ? 0 : limit->rate;
+    }
+
     EndpointLimits limits_;
     const std::string run_ = EndpointLimits::runOf(endpointStartedAt(1000));
     const TimePoint start_{100s};
@@ -27,36 +39,65 @@
 
 TEST_F(EndpointLimitsTest, AnswerNamesNoLimitAnyMore_LimitEnds)
 {
-    EXPECT_FALSE(limits_.limitOf(run_));
-    EXPECT_TRUE(limits_.observe(run_, 14.2, start_));
-    EXPECT_FALSE(limits_.observe(run_, 14.2, start_ + 1s));
-    EXPECT_TRUE(limits_.observe(run_, 9.5, start_ + 2s));
-    EXPECT_EQ(limits_.limitOf(run_), 9.5);
-    EXPECT_TRUE(limits_.observe(run_, std::nullopt, start_ + 3s));
-    EXPECT_FALSE(limits_.limitOf(run_));
+    EXPECT_EQ(limit(), 0);
+    EXPECT_TRUE(observe(14.2, start_));
+    EXPECT_FALSE(observe(14.2, start_ + 1s));
+    EXPECT_TRUE(observe(9.5, start_ + 2s));
+    EXPECT_EQ(limit(), 9.5);
+    EXPECT_TRUE(observe(std::nullopt, start_ + 3s));
+    EXPECT_EQ(limit(), 0);
 }
 
 TEST_F(EndpointLimitsTest, OlderAnswerIsReportedLate_LimitIsNotBroughtBack)
 {
-    limits_.observe(run_, 14.2, start_);
-    limits_.observe(run_, std::nullopt, start_ + 3s);
-    EXPECT_FALSE(limits_.observe(run_, 14.2, start_ + 2s));
-    EXPECT_FALSE(limits_.limitOf(run_));
+    observe(14.2, start_);
+    observe(std::nullopt, start_ + 3s);
+    EXPECT_FALSE(observe(14.2, start_ + 2s));
+    EXPECT_EQ(limit(), 0);
 }
 
 TEST_F(EndpointLimitsTest, EndpointNeverNamedALimit_OlderReportBringsNone)
 {
-    limits_.observe(run_, std::nullopt, start_ + 3s);
-    EXPECT_FALSE(limits_.observe(run_, 14.2, start_ + 2s));
-    EXPECT_FALSE(limits_.limitOf(run_));
+    observe(std::nullopt, start_ + 3s);
+    EXPECT_FALSE(observe(14.2, start_ + 2s));
+    EXPECT_EQ(limit(), 0);
 }
 
 TEST_F(EndpointLimitsTest, EndpointRestarts_LimitOfItsFormerRunDoesNotHold)
 {
-    limits_.observe(run_, 14.2, start_);
-    EXPECT_FALSE(limits_.limitOf(EndpointLimits::runOf(endpointStartedAt(2000))));
+    observe(14.2, start_);
+    EXPECT_EQ(limits_.find(EndpointLimits::runOf(endpointStartedAt(2000))), nullptr);
     limits_.remove(run_);
-    EXPECT_FALSE(limits_.limitOf(run_));
+    EXPECT_EQ(limit(), 0);
+}
+
+TEST_F(EndpointLimitsTest, UnitsUsedUp_LimitChanges_UnitsMayBeHadAgain)
+{
+    observe(14.2, start_);
+    limits_.onUsedUp(run_, start_ + 2s);
+    EXPECT_EQ(limits_.usedUpUntil(run_), start_ + 2s);
+    observe(20.0, start_ + 1s);
+    EXPECT_EQ(limits_.usedUpUntil(run_), TimePoint{});
+}
+
+TEST_F(EndpointLimitsTest, LimitIsSmall_SharesContainWholeUnits)
+{
+    for (const double perSecond : {0.0, 0.5, 3.0, 5.0, 14.2, 200.0}) {
+        observe(perSecond, start_);
+        const RateLimit *limit = limits_.find(run_);
+        ASSERT_NE(limit, nullptr);
+        EXPECT_GE(limit->burst / static_cast<double>(limit->maxHolders), 1);
+        EXPECT_GT(limit->rate, 0);
+    }
+}
+
+TEST_F(EndpointLimitsTest, RunNotObservedForLong_IsForgotten)
+{
+    observe(14.2, start_);
+    limits_.removeStale(start_ + 9min);
+    EXPECT_EQ(limits_.limitedRuns(), 1U);
+    limits_.removeStale(start_ + 11min);
+    EXPECT_EQ(limits_.limitedRuns(), 0U);
 }
 
 }
