PlacementPolicy: a prompt is not prefilled while no engine can decode its answer

Now the placement finds no endpoint and the request is refused at once, with the time until a unit may be had.

Test: NoDecodeEngineCanTakeIt_LongPrompt_IsNotPrefilled failed before (Placed in place of NoEndpoint).

--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -29,7 +29,9 @@
 Placement PlacementPolicy::place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
     Placement placement;
-    if (!query.parts.empty() && query.promptTokens >= options_.minDisaggregatedTokens) {
+    const bool isLongPrompt = !query.parts.empty() && query.promptTokens >= options_.minDisaggregatedTokens;
+    // A prefilled prompt is of no use without an engine that decodes the answer.
+    if (isLongPrompt && chooseRunEndpoint(query, endpoints, now)) {
         placement = placePrompt(query, endpoints, now);
     }
     if (placement.result == Placement::Result::NoEndpoint) {
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -51,6 +51,18 @@
     TimePoint now_{100s};
 };
 
+// Guards against prompts that are prefilled for nothing while no engine can decode their answers.
+TEST_F(PlacementTest, NoDecodeEngineCanTakeIt_LongPrompt_IsNotPrefilled)
+{
+    addEngines(6, EngineStage::Prefill);
+    EXPECT_EQ(place(longPrompt("s1")).result, Placement::Result::NoEndpoint);
+    addEngines(1, EngineStage::Decode);
+    auto query = longPrompt("s1");
+    EXPECT_EQ(place(query).result, Placement::Result::Placed);
+    query.excluded.insert(engines_.back().id);
+    EXPECT_EQ(place(query).result, Placement::Result::NoEndpoint);
+}
+
 TEST_F(PlacementTest, SecondRequestOfSession_EnginesIdle_GoesToTheSamePrefillEngine)
 {
     addEngines(6, EngineStage::Prefill);
@@ -65,6 +77,7 @@
 TEST_F(PlacementTest, ManySessions_EnginesIdle_AreDistributedOverAllPrefillEngines)
 {
     addEngines(6, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     std::set<std::string> used;
     for (int i = 0; i < 100; ++i) {
         used.insert(place(longPrompt("s" + std::to_string(i))).prefillEngine->id);
@@ -75,6 +88,7 @@
 TEST_F(PlacementTest, BurstOfOneSession_ItsEngineIsBusy_GoesToAnotherEngineAndIsNotLate)
 {
     addEngines(6, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     const std::string sessionEngine = place(longPrompt("s1")).prefillEngine->id;
     for (int i = 0; i < 10; ++i) {
         loads_.onCallStarted(sessionEngine, {2890, false, now_});
@@ -88,6 +102,7 @@
 TEST_F(PlacementTest, BurstOfLongPrompts_AllEnginesBusy_IsPlacedAsLateAndThenRefused)
 {
     addEngines(3, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     for (const auto &engine : engines_) {
         loads_.onCallStarted(engine.id, {60000, false, now_});
     }
@@ -102,6 +117,7 @@
 TEST_F(PlacementTest, BurstOfLongPrompts_OnlyLatePromptsQueued_NewOneIsTimely)
 {
     addEngines(3, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     for (const auto &engine : engines_) {
         loads_.onCallStarted(engine.id, {60000, true, now_});
     }
@@ -113,6 +129,7 @@
 TEST_F(PlacementTest, BurstOfLongPrompts_HalfOfOwnPromptsLate_HalfOfOtherGatewaysPromptsCount)
 {
     addEngines(1, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     loads_.onCallStarted("engine-0", {2890, true, now_});
     loads_.onCallStarted("engine-0", {2890, false, now_});
     loads_.onLoadReported("engine-0", {16, 0, 32}, now_);
@@ -124,6 +141,7 @@
 TEST_F(PlacementTest, BurstOfLongPromptsAtOtherGateways_OwnPromptInFlightForLong_NextOneGoesToSessionEngineAsLate)
 {
     addEngines(2, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     const std::string sessionEngine = place(longPrompt("s1")).prefillEngine->id;
     loads_.onCallStarted(sessionEngine, {100, false, now_ - 200ms});
     const auto placement = place(longPrompt("s1"));
@@ -134,6 +152,7 @@
 TEST_F(PlacementTest, LatePromptInFlightForLong_AnotherLateOne_IsRefused)
 {
     addEngines(2, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     for (const auto &engine : engines_) {
         loads_.onCallStarted(engine.id, {40000, false, now_});
         loads_.onCallStarted(engine.id, {100, true, now_ - 400ms});
@@ -144,6 +163,7 @@
 TEST_F(PlacementTest, EngineBusyWithOtherGatewaysRequests_LoadReported_PromptsGoElsewhereUntilTheReportExpires)
 {
     addEngines(6, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
     const std::string sessionEngine = place(longPrompt("s1")).prefillEngine->id;
     loads_.onLoadReported(sessionEngine, {20, 5, 32}, now_);
     EXPECT_NE(place(longPrompt("s1")).prefillEngine->id, sessionEngine);
