LimitReporter: all gateways learn of a limit that an endpoint names, not only those that it has answered

Users' rule excuses machines that weren't told; the endpoint in need isn't helped by that.

Now a gateway that saw a change writes it to a row of its own in the shared table, which all follow by long polls. The gateways wait for each other in an order by rendezvous hashing, 200 ms each and 1 s at most, so mostly one of them writes. Reports have the time of the answer by the store's clock; older ones change nothing. An ended limit is reported for 30 s. Not measured yet: writes for each change in a large fleet.

OwnRow is what CrashReporter did for its own row, now for both.

--- a/src/chestnutcove/crashreporter.cpp
+++ b/src/chestnutcove/crashreporter.cpp
@@ -26,25 +26,19 @@
 CrashReporter::CrashReporter(asio::io_context &context,
                              EndpointPool &pool,
                              PlatformTable &table,
-                             std::string vm,
+                             const std::string &vm,
                              std::function<bool(const std::string &key)> isTrialGateway,
                              Metrics &metrics,
                              const Log &log)
     : ioContext_(context)
     , pool_(pool)
-    , table_(table)
-    , vm_(std::move(vm))
     , log_(log)
+    , row_(table, std::string(RowPrefix) + vm)
     , evidence_(CrashEvidenceOptions{}, std::move(isTrialGateway))
 {
     metrics.gauge("blocked_prompt_parts", [this] { return static_cast<double>(blockedParts_.size()); });
 }
 
-std::string CrashReporter::rowKey() const
-{
-    return std::string(RowPrefix) + vm_;
-}
-
 void CrashReporter::onRunBroken(const EndpointRecord &endpoint, const std::vector<PromptPart> &parts, TimePoint sentAt)
 {
     if (evidence_.areAllPartsAnswered(endpoint.service, parts)) {
@@ -104,9 +98,9 @@
 
 void CrashReporter::onTableRead(const TableRows &rows)
 {
-    if (!rows.contains(rowKey())) {
+    row_.onTableRead(rows);
+    if (!rows.contains(row_.key())) {
         storedReport_ = {};
-        storedVersion_ = 0;
     }
     for (const auto &[key, row] : rows) {
         onRowChanged(key, row.value, row.version);
@@ -124,14 +118,14 @@
         return;
     }
     const TimePoint now = suspendAwareNow();
-    const bool isOwn = key == rowKey();
+    const bool isOwn = key == row_.key();
     if (isOwn) {
         storedReport_ = *report;
-        storedVersion_ = version;
+        row_.onChanged(version);
     }
     const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(CrashEvidenceOptions{}.lifetime);
     const bool isLeftBehind = timeOfDay() - report->writtenAt > lifetime.count();
-    if (isLeftBehind || (isOwn && hasWritten_)) {
+    if (isLeftBehind || (isOwn && row_.hasWritten())) {
         return;
     }
     if (isOwn) {
@@ -181,24 +175,15 @@
 
 void CrashReporter::writeReport(const CrashReport &report)
 {
-    if (std::exchange(isWriting_, true)) {
-        return;
-    }
-    hasWritten_ = true;
-    changedSince_.reset();
-    const std::string key = rowKey();
-    TableTransaction transaction;
-    // A write whose outcome is unknown may take effect late; it must not replace a newer one.
-    transaction.conditions = {{key, storedVersion_}};
-    transaction.puts = {{key, report.toText(timeOfDay())}};
-    table_.commit(transaction, [this, parts = report.crashes.size(), cleared = report.cleared.size()](CommitOutcome outcome) {
-        // Whatever the outcome, the row that is stored is read back.
-        isWriting_ = false;
+    const auto onDone = [this, parts = report.crashes.size(), cleared = report.cleared.size()](bool isCommitted) {
         log_.info("crash report written",
                   {{"suspected", std::to_string(parts)},
                    {"cleared", std::to_string(cleared)},
-                   {"committed", outcome == CommitOutcome::Committed ? "yes" : "not for certain"}});
-    });
+                   {"committed", isCommitted ? "yes" : "not for certain"}});
+    };
+    if (row_.write(report.toText(timeOfDay()), onDone)) {
+        changedSince_.reset();
+    }
 }
 
 }
--- a/src/chestnutcove/crashreporter.h
+++ b/src/chestnutcove/crashreporter.h
@@ -9,7 +9,7 @@
 #include "endpointrecord.h"
 #include "log.h"
 #include "metrics.h"
-#include "platformtable.h"
+#include "ownrow.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -31,7 +31,7 @@
     CrashReporter(asio::io_context &context,
                   EndpointPool &pool,
                   PlatformTable &table,
-                  std::string vm,
+                  const std::string &vm,
                   std::function<bool(const std::string &key)> isTrialGateway,
                   Metrics &metrics,
                   const Log &log);
@@ -62,8 +62,6 @@
         asio::steady_timer timer;
     };
 
-    /** Key of this gateway's row. */
-    std::string rowKey() const;
     void confirmCrash(const std::string &run);
     void onConfirmed(const std::string &run, bool hasCrashed);
     void writeReport(const CrashReport &report);
@@ -71,20 +69,16 @@
 
     asio::io_context &ioContext_;
     EndpointPool &pool_;
-    PlatformTable &table_;
-    std::string vm_;
     const Log &log_;
+    OwnRow row_;
     CrashEvidence evidence_;
     /** By run of an endpoint. */
     std::map<std::string, std::unique_ptr<Confirmation>> confirmations_;
     std::set<std::string> blockedParts_;
-    /** What this gateway's row holds, and the row's version. */
+    /** What this gateway's row holds. */
     CrashReport storedReport_;
-    std::uint64_t storedVersion_ = 0;
     /** Since when the report differs from the stored one. */
     std::optional<TimePoint> changedSince_;
-    bool isWriting_ = false;
-    bool hasWritten_ = false;
 };
 
 }
--- a/src/chestnutcove/endpointadmission.cpp
+++ b/src/chestnutcove/endpointadmission.cpp
@@ -75,7 +75,7 @@
         return;
     }
     const auto perSecond = limit.has_per_second() ? std::optional(limit.per_second()) : std::nullopt;
-    observe(message.customer(), {perSecond, std::min(*seenAt, suspendAwareNow())}, sender);
+    onReported(message.customer(), {perSecond, std::min(*seenAt, suspendAwareNow())}, sender);
 }
 
 void EndpointAdmission::onAnswer(const OutgoingCall &call)
@@ -86,13 +86,13 @@
         return;
     }
     const std::string run = EndpointLimits::runOf(call.endpoint);
-    observe(run, {limit, suspendAwareNow()}, std::string(nameOf(CallWorkNames, call.work)) + ' ' + std::to_string(call.head->status));
+    onReported(run, {limit, suspendAwareNow()}, std::string(nameOf(CallWorkNames, call.work)) + ' ' + std::to_string(call.head->status));
     if (limit) {
         ++answers_[run];
     }
 }
 
-void EndpointAdmission::observe(const std::string &run, const EndpointLimits::Observation &observation, const std::string &source)
+void EndpointAdmission::onReported(const std::string &run, const EndpointLimits::Observation &observation, const std::string &source)
 {
     const auto before = known_.newestOf(run);
     if (!known_.observe(run, observation)) {
@@ -116,6 +116,11 @@
     limits_.remove(run);
 }
 
+std::map<std::string, EndpointLimits::Observation> EndpointAdmission::recentLimits(TimePoint now) const
+{
+    return known_.recentLimits(now);
+}
+
 bool EndpointAdmission::isLimited(const EndpointRecord &endpoint) const
 {
     return known_.limitedRuns() > 0 && known_.find(EndpointLimits::runOf(endpoint)) != nullptr;
--- a/src/chestnutcove/endpointadmission.h
+++ b/src/chestnutcove/endpointadmission.h
@@ -45,6 +45,10 @@
     /** The head of the call's answer has arrived. */
     void onAnswer(const OutgoingCall &call);
     void removeEndpoint(const EndpointRecord &endpoint);
+    /** Another gateway has reported what it saw of the run. @param source where the report was, for the log. */
+    void onReported(const std::string &run, const EndpointLimits::Observation &observation, const std::string &source);
+    /** See EndpointLimits::recentLimits(). */
+    std::map<std::string, EndpointLimits::Observation> recentLimits(TimePoint now) const;
 
     /** Those of the endpoints whose limit, if they name one, may have units. */
     std::vector<EndpointRecord> withUnits(std::vector<EndpointRecord> endpoints, TimePoint now) const;
@@ -62,8 +66,6 @@
 
 private:
     void onVerdict(const std::string &run, const QuotaVerdict &verdict, const UnitHandler &onDecided);
-    /** @param source who saw the answer, for the log. */
-    void observe(const std::string &run, const EndpointLimits::Observation &observation, const std::string &source);
     /** Adds what this gateway knows of the run's limit. */
     template<typename Message>
     void describe(Message &message) const;
--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -63,7 +63,8 @@
                                    EndpointPool &pool,
                                    EndpointDirectory &directory,
                                    QuotaLinks &links,
-                                   std::vector<LimitAdmission *> limits,
+                                   LimitAdmission &quotas,
+                                   EndpointAdmission &endpoints,
                                    CatalogueReader catalogue,
                                    std::uint64_t incarnation,
                                    Metrics &metrics,
@@ -72,7 +73,7 @@
     , table_(table)
     , directory_(directory)
     , links_(links)
-    , limits_(std::move(limits))
+    , limits_{&quotas, &endpoints.limits()}
     , catalogue_(std::move(catalogue))
     , incarnation_(incarnation)
     , metrics_(metrics)
@@ -86,9 +87,13 @@
                    [this] { onNoDivisionStored(); },
                    [this](const auto &stages, bool isFirst) { onStagesAnnounced(stages, isFirst); },
                    [this](const LinkKeys &keys) { onLinkKeys(keys); },
-                   [this](const TableRows &rows) { crashReporter_.onTableRead(rows); },
+                   [this](const TableRows &rows) {
+                       crashReporter_.onTableRead(rows);
+                       limitReporter_.onTableRead(rows);
+                   },
                    [this](const std::string &key, const std::string &value, std::uint64_t version) {
                        crashReporter_.onRowChanged(key, value, version);
+                       limitReporter_.onRowChanged(key, value, version);
                    }})
     , crashReporter_(
           context,
@@ -98,6 +103,13 @@
           [this](const std::string &part) { return isTrialGateway(part); },
           metrics,
           log)
+    , limitReporter_(
+          sharedRows_.table(),
+          settings.vmName,
+          endpoints,
+          sharedRows_.clock(),
+          [this](const std::string &run) { return rankFor(run); },
+          log)
     , lease_(context.get_executor(), table, log, DutyName, settings.vmName, incarnation, leaseOptions())
     , operations_(client, settings.operationsApi ? "http://" + settings.operationsApi->text() : "")
     , usageReporter_(context.get_executor(),
@@ -138,6 +150,7 @@
 {
     sharedRows_.tick(now);
     crashReporter_.tick(now);
+    limitReporter_.tick(now);
     updateIntervals(now);
     if (now >= nextLeaseReadAt_) {
         nextLeaseReadAt_ = now + intervals_.leaseRead;
@@ -253,6 +266,13 @@
     }
 }
 
+std::size_t FleetCoordinator::rankFor(const std::string &key) const
+{
+    const auto vms = divider_.current().vms();
+    const auto order = rendezvous(key, vms, vms.size());
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), settings_.vmName) - order.begin());
+}
+
 bool FleetCoordinator::isTrialGateway(const std::string &part) const
 {
     const auto first = rendezvous(part, divider_.current().vms(), 1);
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -7,10 +7,12 @@
 #include "coordinationintervals.h"
 #include "crashreporter.h"
 #include "dutylease.h"
+#include "endpointadmission.h"
 #include "endpointdirectory.h"
 #include "gatewaystatus.h"
 #include "httptable.h"
 #include "limitadmission.h"
+#include "limitreporter.h"
 #include "operationsapi.h"
 #include "platformsettings.h"
 #include "quotadivider.h"
@@ -41,7 +43,8 @@
                      EndpointPool &pool,
                      EndpointDirectory &directory,
                      QuotaLinks &links,
-                     std::vector<LimitAdmission *> limits,
+                     LimitAdmission &quotas,
+                     EndpointAdmission &endpoints,
                      CatalogueReader catalogue,
                      std::uint64_t incarnation,
                      Metrics &metrics,
@@ -77,6 +80,8 @@
     void onNoDivisionStored();
     void onStagesAnnounced(const std::map<std::string, EngineStage> &stages, bool isFirst);
     void onLinkKeys(const LinkKeys &keys);
+    /** This gateway's place in an order of all gateways that depends on the key. */
+    std::size_t rankFor(const std::string &key) const;
     /** Whether this gateway tries requests with a prompt part that was blocked; there is one such gateway for each part. */
     bool isTrialGateway(const std::string &part) const;
     /** Adapts the intervals of all calls to the number of gateways. */
@@ -109,6 +114,7 @@
 
     SharedRows sharedRows_;
     CrashReporter crashReporter_;
+    LimitReporter limitReporter_;
     BasicDutyLease<PlatformTable> lease_;
     Platform::OperationsApi operations_;
     BasicUsageReporter<PlatformTable, Platform::OperationsApi> usageReporter_;
--- a/src/libserving/endpointlimits.cpp
+++ b/src/libserving/endpointlimits.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds MinPause{5};
 /** Pause where no holder of a limit could be asked. */
 constexpr std::chrono::milliseconds UnknownHolderPause{300};
+/** Time for which other gateways are told that a limit has ended. */
+constexpr std::chrono::seconds EndedLimitLifetime{30};
 /** Longer than any answer may take. */
 constexpr std::chrono::minutes MaxObservationAge{10};
 
@@ -76,8 +78,11 @@
         return false;
     }
     entry.usedUpUntil = {};
+    entry.endedAt.reset();
     limitedRuns_ -= before ? 1 : 0;
-    if (observation.perSecond) {
+    if (!observation.perSecond) {
+        entry.endedAt = observation.seenAt;
+    } else {
         ++limitedRuns_;
         entry.shared = sharedLimit(run, *observation.perSecond);
     }
@@ -99,6 +104,18 @@
     return it == entries_.end() || !it->second.newest.perSecond ? nullptr : &it->second.shared;
 }
 
+std::map<std::string, EndpointLimits::Observation> EndpointLimits::recentLimits(TimePoint now) const
+{
+    std::map<std::string, Observation> result;
+    for (const auto &[run, entry] : entries_) {
+        const bool hasEndedRecently = entry.endedAt && now - *entry.endedAt < EndedLimitLifetime;
+        if (entry.newest.perSecond || hasEndedRecently) {
+            result.emplace(run, entry.newest);
+        }
+    }
+    return result;
+}
+
 void EndpointLimits::onUsedUp(const std::string &run, TimePoint until)
 {
     const auto it = entries_.find(run);
--- a/src/libserving/endpointlimits.h
+++ b/src/libserving/endpointlimits.h
@@ -12,6 +12,7 @@
 #include "timepoint.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -47,6 +48,8 @@
     std::optional<Observation> newestOf(const std::string &run) const;
     /** The run's limit as the gateways share it, or null if it names none. Valid until the next observation of the run. */
     const RateLimit *find(const std::string &run) const;
+    /** The newest observations of runs that name a limit, or whose limit ended not long ago. */
+    std::map<std::string, Observation> recentLimits(TimePoint now) const;
     /** Number of runs that name a limit. */
     std::size_t limitedRuns() const;
 
@@ -63,6 +66,8 @@
     struct Entry
     {
         Observation newest;
+        /** When the limit was seen to end; nothing if it hasn't, or if there never was one. */
+        std::optional<TimePoint> endedAt;
         /** Valid while the run names a limit. */
         RateLimit shared;
         TimePoint usedUpUntil{};
--- a/tests/processes/endpointlimit_test.cpp
+++ b/tests/processes/endpointlimit_test.cpp
@@ -117,6 +117,23 @@
     EXPECT_GE(static_cast<double>(countBetween(arrivals, firstTold + ContactTime.count(), end)), LeastUse * Limit * seconds - 1);
 }
 
+// Guards against a gateway that learns of a limit only from its own answers, and sends many requests before the first of them.
+TEST_F(EndpointLimitProcessTest, OtherGatewayWasTold_GatewayWithoutAnAnswerYet_KeepsToTheLimit)
+{
+    ASSERT_TRUE(waitUntilBothServe());
+    std::this_thread::sleep_for(6s);
+    callAdmin("/admin/faults", {{"limits", {{"endpoint-1", "2.0"}}}});
+    EXPECT_EQ(sendOrder("/open/1", "").code, 200);
+    std::this_thread::sleep_for(ContactTime);
+    const auto before = arrivalsAt("endpoint-1").size();
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.emplace_back([&] { sendOrderTo(*second_, secondIp_, "/open/1", ""); });
+    }
+    callers.clear();
+    EXPECT_LE(arrivalsAt("endpoint-1").size() - before, 4U);
+}
+
 // Guards against a limit that outlives its end.
 TEST_F(EndpointLimitProcessTest, EndpointNamesLimitNoMore_Requests_ComeToItAsBefore)
 {
--- a/tests/serving/endpointlimits_test.cpp
+++ b/tests/serving/endpointlimits_test.cpp
@@ -1,5 +1,6 @@
 /** The limits that endpoints name, as heads of answers and reports of other gateways arrive in any order. */
 #include "endpointlimits.h"
+#include "limitreport.h"
 
 #include <gtest/gtest.h>
 
@@ -100,6 +101,38 @@
     EXPECT_EQ(limits_.limitedRuns(), 0U);
 }
 
+TEST_F(EndpointLimitsTest, LimitEnded_OtherGateways_AreToldForSomeTime)
+{
+    observe(std::nullopt, start_);
+    EXPECT_TRUE(limits_.recentLimits(start_ + 1s).empty());
+    observe(14.2, start_ + 1s);
+    observe(std::nullopt, start_ + 5s);
+    observe(std::nullopt, start_ + 20s);
+    EXPECT_EQ(limits_.recentLimits(start_ + 20s).size(), 1U);
+    EXPECT_FALSE(limits_.recentLimits(start_ + 20s).at(run_).perSecond);
+    EXPECT_TRUE(limits_.recentLimits(start_ + 36s).empty());
+}
+
+TEST(LimitReportTest, Report_WrittenAndRead_IsTheSame)
+{
+    LimitReport report;
+    report.limits["engine-1/1000"] = {14.2, 123456ms};
+    report.limits["engine-2/1000"] = {std::nullopt, 123457ms};
+    const auto read = LimitReport::fromText(report.toText());
+    ASSERT_TRUE(read.ok());
+    ASSERT_EQ(read->limits.size(), 2U);
+    EXPECT_EQ(read->limits.at("engine-1/1000").perSecond, 14.2);
+    EXPECT_EQ(read->limits.at("engine-1/1000").seenAt, 123456ms);
+    EXPECT_FALSE(read->limits.at("engine-2/1000").perSecond);
+}
+
+TEST(LimitReportTest, TextIsNoReport_Read_IsAnError)
+{
+    for (const char *text : {"", "[]", "{}", R"({"limits":[{"run":"a"}]})", R"({"limits":[{"run":"a","seenAt":1,"perSecond":-1}]})"}) {
+        EXPECT_FALSE(LimitReport::fromText(text).ok()) << text;
+    }
+}
+
 }
 
 }
