TableMirror: log that the store came back from an older copy, and full reads that are not applied

A store that has lost its history and one that came back older looked the same in the logs, and no line said that a full read was left out. The era that the store states in its answers is read now, and both are logged. HttpResult carries the headers of a response. No decision reads the era yet.

--- a/src/chestnutcove/tablemirror.h
+++ b/src/chestnutcove/tablemirror.h
@@ -122,6 +122,11 @@
             readPage(collectedRows_.rbegin()->first + '!');
             return;
         }
+        logEra(page->era);
+        if (firstPageVersion_ < version_) {
+            log_.warning("full read is older than the copy; it is not applied",
+                         {{"table", name_}, {"version", std::to_string(firstPageVersion_)}, {"copy", std::to_string(version_)}});
+        }
         const TableRows rows = std::exchange(collectedRows_, {});
         isReading_ = false;
         // A read that is older than the changes already applied must not undo them.
@@ -180,6 +185,7 @@
         pollFailures_ = 0;
         setReachable(true, "");
         const TimePoint now = suspendAwareNow();
+        logEra(changes->era);
         applyChanges(*changes);
         handlers_.onConfirmed(clock_.readingTime(sentAt, changes->serviceTime, now));
         // A service that answers at once without changes must not be polled without a pause.
@@ -193,6 +199,14 @@
         }
     }
 
+    void logEra(std::uint64_t era)
+    {
+        if (era > era_ && era_ > 0) {
+            log_.warning("the service has come back from an older copy", {{"table", name_}, {"era", std::to_string(era)}});
+        }
+        era_ = std::max(era_, era);
+    }
+
     void applyChanges(const TableChanges &changes)
     {
         Changes fresh;
@@ -249,6 +263,8 @@
     TimePoint firstPageAt_{};
     /** All changes up to this version were applied. */
     std::uint64_t version_ = 0;
+    /** The highest era that the service has stated. */
+    std::uint64_t era_ = 0;
     /** Number of polls that failed since the last one that succeeded. */
     unsigned pollFailures_ = 0;
     bool isReading_ = false;
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -1,8 +1,11 @@
 #include "httpclient.h"
 
+#include "text.h"
+
 #include <asio/post.hpp>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -28,8 +31,21 @@
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     std::string body;
+    HttpHeaders responseHeaders;
 };
 
+/** libcurl's header callback: called for each line of the response's head. */
+std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    const std::string_view line(data, size * count);
+    const auto colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        transfer->responseHeaders.emplace_back(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+    }
+    return size * count;
+}
+
 /** libcurl's write callback. */
 std::size_t onBodyData(char *data, std::size_t size, std::size_t count, void *context)
 {
@@ -66,6 +82,13 @@
 
 }
 
+std::optional<std::string_view> HttpResult::headerValue(std::string_view name) const
+{
+    const auto it
+        = std::find_if(headers.begin(), headers.end(), [name](const auto &header) { return equalIgnoringCase(header.first, name); });
+    return it == headers.end() ? std::nullopt : std::optional<std::string_view>(it->second);
+}
+
 class HttpClient::Impl
 {
 public:
@@ -179,6 +202,8 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
         }
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBodyData);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_PRIVATE, reinterpret_cast<char *>(id)); // NOLINT(performance-no-int-to-ptr)
@@ -210,7 +235,11 @@
     {
         const char *contentType = nullptr;
         curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_TYPE, &contentType);
-        HttpResult result{std::move(status), code, contentType == nullptr ? "" : contentType, std::move(transfer.body)};
+        HttpResult result{std::move(status),
+                          code,
+                          contentType == nullptr ? "" : contentType,
+                          std::move(transfer.body),
+                          std::move(transfer.responseHeaders)};
         asio::post(transfer.executor,
                    [handler = std::move(transfer.onDone), result = std::move(result)]() mutable { handler(std::move(result)); });
     }
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -13,7 +13,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace Chestnutcove {
 
@@ -44,6 +46,10 @@
     int code = 0;
     std::string contentType;
     std::string body;
+    HttpHeaders headers;
+
+    /** The value of the header @p name, which is compared without regard to case, or nothing. */
+    std::optional<std::string_view> headerValue(std::string_view name) const;
 };
 
 class HttpClient
--- a/src/libplatform/tableformat.h
+++ b/src/libplatform/tableformat.h
@@ -49,6 +49,8 @@
     bool hasMore = false;
     /** The service's steady clock when it took the snapshot, if it states it. */
     std::optional<std::chrono::milliseconds> serviceTime;
+    /** Rises each time the service comes back from an older copy of its data; 0 if it never does. */
+    std::uint64_t era = 0;
 };
 
 /** The changes of a table after a given version. */
@@ -67,6 +69,8 @@
     std::uint64_t version = 0;
     /** The service's steady clock when it answered, if it states it. All changes until then are included. */
     std::optional<std::chrono::milliseconds> serviceTime;
+    /** See TablePage::era. */
+    std::uint64_t era = 0;
 };
 
 /** A format of a service that has several tables and reports changes. */
