--- a/tests/processes/restoredstore_test.cpp
+++ b/tests/processes/restoredstore_test.cpp
@@ -28,6 +28,32 @@
         }
     }
 
+    /** Sends orders for that time. */
+    void serveFor(std::chrono::milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            sendOrder("/orders/1", "key-1");
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    /** Checks that no window was reported with two different counts. */
+    void checkReports()
+    {
+        std::map<std::uint64_t, nlohmann::json> counts;
+        const auto reports = callAdmin("/admin/state")["reports"];
+        for (const auto &report : reports) {
+            const auto [it, isNew] = counts.emplace(report["window"].get<std::uint64_t>(), report["counts"]);
+            EXPECT_EQ(it->second, report["counts"]) << "window " << it->first;
+        }
+    }
+
+    std::size_t reportCount()
+    {
+        return callAdmin("/admin/state")["reports"].size();
+    }
+
     void copyStore()
     {
         callAdmin("/admin/copy");
@@ -47,7 +73,8 @@
     putConfiguration(2, {"key-2"});
     ASSERT_TRUE(waitUntilServed("key-2"));
     raiseVersions();
-    std::this_thread::sleep_for(300ms);
+    // Until the gateway's copy of the table has reached these versions.
+    std::this_thread::sleep_for(2s);
     restoreStore();
     std::this_thread::sleep_for(1s);
     putConfiguration(3, {"key-3"});
@@ -91,26 +118,32 @@
 TEST_F(RestoredStoreTest, SealsAreLost_ReportedWindows_AreNotReportedWithOtherCounts)
 {
     ASSERT_TRUE(waitUntilServed("key-1"));
-    std::this_thread::sleep_for(2s);
+    serveFor(2s);
     copyStore();
-    const auto serveFor = [&](std::chrono::milliseconds time) {
-        const auto end = std::chrono::steady_clock::now() + time;
-        while (std::chrono::steady_clock::now() < end) {
-            sendOrder("/orders/1", "key-1");
-            std::this_thread::sleep_for(20ms);
-        }
-    };
     serveFor(8s);
     restoreStore();
-    const auto before = callAdmin("/admin/state")["reports"].size();
+    const auto before = reportCount();
     serveFor(12s);
-    std::map<std::uint64_t, nlohmann::json> counts;
-    const auto reports = callAdmin("/admin/state")["reports"];
-    EXPECT_GT(reports.size(), before);
-    for (const auto &report : reports) {
-        const auto [it, isNew] = counts.emplace(report["window"].get<std::uint64_t>(), report["counts"]);
-        EXPECT_EQ(it->second, report["counts"]) << "window " << it->first;
-    }
+    EXPECT_GT(reportCount(), before);
+    checkReports();
+}
+
+// Guards against the same by a process that can't know what was reported, since it started after the store's return.
+TEST_F(RestoredStoreTest, SealsAreLostAndReporterEnds_NextReporter_DoesNotReportTheirWindowsAgain)
+{
+    ASSERT_TRUE(waitUntilServed("key-1"));
+    serveFor(2s);
+    copyStore();
+    serveFor(8s);
+    ASSERT_GT(reportCount(), 0U);
+    gateway_->kill();
+    restoreStore();
+    startGateway();
+    ASSERT_TRUE(waitUntilServed("key-1"));
+    const auto before = reportCount();
+    serveFor(14s);
+    EXPECT_GT(reportCount(), before);
+    checkReports();
 }
 
 }
--- a/tests/standins/usersplatform.cpp
+++ b/tests/standins/usersplatform.cpp
@@ -69,16 +69,20 @@
 void UsersPlatformStandIn::serveStore(const HttpRequest &request, const HttpReply &reply)
 {
     if (down_) {
-        reply.respond(503, {}, "{}");
+        respond(reply, 503, "{}");
         return;
     }
     if (request.path.ends_with("rows-tx")) {
         const bool isCommitted = commit(nlohmann::json::parse(request.body));
-        reply.respond(
-            isCommitted ? 200 : 412, {}, nlohmann::json{{"ver", lastVersion_}, {"now_ms", 1}, {"rows", nlohmann::json::array()}}.dump());
+        respond(
+            reply, isCommitted ? 200 : 412, nlohmann::json{{"ver", lastVersion_}, {"now_ms", 1}, {"rows", nlohmann::json::array()}}.dump());
         return;
     }
     if (request.path.ends_with("rows-feed")) {
+        if (std::stoull(parameterOf(request, "after")) > lastVersion_) {
+            respond(reply, 410, "{}");
+            return;
+        }
         const std::chrono::milliseconds wait(std::stoul(parameterOf(request, "wait_ms")));
         const auto now = std::chrono::steady_clock::now();
         feeds_.push_back({parameterOf(request, "table"), std::stoull(parameterOf(request, "after")), now + wait, reply});
@@ -88,9 +92,14 @@
     respondWithRows(reply, rowsOf(parameterOf(request, "table"), parameterOf(request, "from"), parameterOf(request, "target"), 0));
 }
 
+void UsersPlatformStandIn::respond(const HttpReply &reply, int status, const std::string &body) const
+{
+    reply.respond(status, {{"Store-Era", std::to_string(era_)}}, body);
+}
+
 void UsersPlatformStandIn::respondWithRows(const HttpReply &reply, const nlohmann::json &rows) const
 {
-    reply.respond(200, {}, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", uptimeMs()}}.dump());
+    respond(reply, 200, nlohmann::json{{"rows", rows}, {"more_pages", false}, {"ver", lastVersion_}, {"now_ms", uptimeMs()}}.dump());
 }
 
 std::int64_t UsersPlatformStandIn::uptimeMs() const
@@ -102,7 +111,7 @@
 {
     std::erase_if(feeds_, [&](const PendingFeed &feed) {
         if (down_) {
-            feed.reply.respond(503, {}, "{}");
+            respond(feed.reply, 503, "{}");
             return true;
         }
         const auto rows = rowsOf(feed.table, "", "", feed.after);
@@ -158,6 +167,16 @@
         rows_[{body["table"].get<std::string>(), body["key"].get<std::string>()}]
             = Row{absl::Base64Escape(body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump()), ++lastVersion_};
         answerFeeds(std::chrono::steady_clock::now());
+    } else if (request.path == "/admin/copy") {
+        copy_ = {rows_, lastVersion_};
+    } else if (request.path == "/admin/restore") {
+        rows_ = copy_.rows;
+        lastVersion_ = copy_.lastVersion;
+        ++era_;
+        // Calls that waited for changes are lost with the former store.
+        for (const PendingFeed &feed : std::exchange(feeds_, {})) {
+            respond(feed.reply, 503, "{}");
+        }
     } else if (request.path == "/admin/faults") {
         down_ = body.value("down", down_);
         silentEndpoint_ = body.value("silentEndpoint", silentEndpoint_);
--- a/tests/standins/usersplatform.h
+++ b/tests/standins/usersplatform.h
@@ -38,6 +38,13 @@
         std::uint64_t version = 0;
         bool isDeleted = false;
     };
+    using RowKey = std::pair<std::string, std::string>;
+    /** The store's state at some time, to which it can go back. */
+    struct Copy
+    {
+        std::map<RowKey, Row> rows;
+        std::uint64_t lastVersion = 0;
+    };
     /** A call for changes that waits until there are some. */
     struct PendingFeed
     {
@@ -46,11 +53,12 @@
         std::chrono::steady_clock::time_point answerBy;
         HttpReply reply;
     };
-    using RowKey = std::pair<std::string, std::string>;
 
     /** Rows of a table with keys in [from, to) and versions above @p after; an empty @p to is no limit. */
     nlohmann::json rowsOf(const std::string &table, const std::string &from, const std::string &to, std::uint64_t after) const;
     std::int64_t uptimeMs() const;
+    /** Answers a call of the store's, with what all its answers state. */
+    void respond(const HttpReply &reply, int status, const std::string &body) const;
     void respondWithRows(const HttpReply &reply, const nlohmann::json &rows) const;
     /** Answers the calls for changes that have waited long enough or have changes to return. */
     void answerFeeds(std::chrono::steady_clock::time_point now);
@@ -64,6 +72,9 @@
     /** Rows by table and key. */
     std::map<RowKey, Row> rows_;
     std::uint64_t lastVersion_ = 0;
+    Copy copy_;
+    /** Rises each time the store goes back to its copy. */
+    unsigned era_ = 1;
     std::vector<PendingFeed> feeds_;
     std::chrono::steady_clock::time_point startedAt_ = std::chrono::steady_clock::now();
     /** The store responds with 503. */
