StoreVersion: versions of rows contain the era of the store, so that copies follow a store that comes back older

Cause: the copies of tables compared versions as if they only rose. Class: a counter that goes back is taken for an old message.

The client puts the era into the upper bits of each version that it returns and takes them out of those that it sends. Versions therefore rise across a return; a poll that is answered from a later era, also one whose versions have passed the old ones unseen, leads to a full read, which replaces the copy. Answers of an earlier era than one already seen are late and dropped, and a transaction with a condition of an earlier era is not sent: the service may have given out the same versions for other content. What the store forgot of others' rows and this process knows: a run that has said that it leaves stays so, an older entry of the same run (by its sequence) changes nothing, and an entry that was gone isn't taken from the copy, all until it is written again; entries that are missing are kept as after an outage. The older configuration is no proof that keys are fresh, for 2.2 s or until the operator has written it again; that holds also for a process that starts in a later era, since it can't know when that began.

New tests without processes: two of TableMirror, two of EndpointDirectory, one of the store's format.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -28,6 +28,8 @@
 constexpr Milliseconds MinLongPoll{1000};
 /** Time that remains to confirm the configuration anew if a poll for changes is not answered. */
 constexpr Milliseconds ConfirmationMargin{1300};
+/** Time after the store's return from an older copy within which the operator has written the newest configuration again. */
+constexpr Milliseconds ConfigurationRewriteTime{2200};
 /** Endpoints register one after the other; their changes are collected for this long. */
 constexpr Milliseconds EndpointCoalescingPause{250};
 /** Bytes of a rejected write's answer that are logged. */
@@ -150,16 +152,14 @@
                             [this](const auto &changes) {
                                 for (const auto &change : changes) {
                                     if (change.value) {
+                                        configurationRestoredAt_.reset();
                                         onConfiguration(*change.value);
                                     }
                                 }
                             },
-                            [this](TimePoint time) {
-                                if (catalogue_) {
-                                    configurationFreshness_.recordRead(time);
-                                }
-                            },
-                            [](bool) {}})
+                            [this](TimePoint time) { onConfigurationConfirmed(time); },
+                            [](bool) {},
+                            [this] { configurationRestoredAt_ = suspendAwareNow(); }})
     , endpointMirror_(context,
                       table_,
                       log,
@@ -176,7 +176,8 @@
                            } else {
                                directory_.onStoreLost();
                            }
-                       }})
+                       },
+                       [this] { directory_.onStoreRestored(suspendAwareNow()); }})
 {
 }
 
@@ -187,6 +188,7 @@
     PlatformOptions options;
     options.url = "http://" + settings_.store.text();
     options.timeout = StoreTimeout;
+    options.seenEra = seenEra_;
     options.onWriteRejected = [this](int status, const std::string &body) {
         metrics_.counter("store_writes_rejected_total").add();
         log_.error("the store rejected a write", {{"status", std::to_string(status)}, {"answer", body.substr(0, MaxLoggedAnswer)}});
@@ -266,6 +268,15 @@
     catalogue_ = std::make_shared<const RouteCatalogue>(std::move(*configuration));
 }
 
+void PlatformGateway::onConfigurationConfirmed(TimePoint time)
+{
+    // An older copy of the store may lack the newest configuration until the operator has written it again, so it proves nothing.
+    const bool mayBeOutOfDate = configurationRestoredAt_ && suspendAwareNow() - *configurationRestoredAt_ < ConfigurationRewriteTime;
+    if (catalogue_ && !mayBeOutOfDate) {
+        configurationFreshness_.recordRead(time);
+    }
+}
+
 std::optional<EndpointRecord> PlatformGateway::decodeEndpoint(const std::string &id, const std::string &value)
 {
     auto record = Platform::decodeEndpoint(id, value);
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -58,6 +58,8 @@
 
 private:
     PlatformOptions storeOptions();
+    /** The configuration that was read last was still the stored one at @p time. */
+    void onConfigurationConfirmed(TimePoint time);
     void runEvery(Milliseconds interval, std::function<void(TimePoint)> action);
     void onConfiguration(const std::string &value);
     void onEndpointRows(const TableRows &rows, TimePoint now);
@@ -101,10 +103,13 @@
     std::uint64_t incarnation_;
 
     HttpClient httpClient_;
+    std::shared_ptr<SeenEra> seenEra_ = std::make_shared<SeenEra>();
     PlatformTable table_;
     /** Null until the first configuration was read. */
     std::shared_ptr<const RouteCatalogue> catalogue_;
     ReadFreshness configurationFreshness_;
+    /** Set while the store holds an older copy of the configuration, or may do so; see onConfigurationConfirmed(). */
+    std::optional<TimePoint> configurationRestoredAt_;
     EndpointDirectory directory_;
     EndpointLoads loads_;
     PlacementPolicy placement_;
--- a/src/chestnutcove/tablemirror.h
+++ b/src/chestnutcove/tablemirror.h
@@ -7,6 +7,7 @@
 
 #include "log.h"
 #include "remoteclock.h"
+#include "storeversion.h"
 #include "suspendclock.h"
 #include "tableformat.h"
 
@@ -50,6 +51,11 @@
         std::function<void(TimePoint time)> onConfirmed;
         /** Called when calls begin to fail, and when they succeed for the first time or again; then before the rows or changes. */
         std::function<void(bool reachable)> onReachable;
+        /**
+         * Called before the rows of a full read if the service has come back from an older copy since the last one, or at any time before
+         * the first one. May be empty.
+         */
+        std::function<void()> onRestored = nullptr;
     };
 
     /** @param from, @p to the range of keys; empty for the whole table. */
@@ -117,12 +123,18 @@
             firstPageVersion_ = page->version;
             firstPageAt_ = clock_.readingTime(sentAt, page->serviceTime, suspendAwareNow());
         }
+        if (StoreVersion::eraOf(page->version) != StoreVersion::eraOf(firstPageVersion_)) {
+            // The pages are of different copies.
+            isReading_ = false;
+            collectedRows_.clear();
+            scheduleRead(options_.readRetryInterval);
+            return;
+        }
         collectedRows_.merge(std::move(page->rows));
         if (page->hasMore) {
             readPage(collectedRows_.rbegin()->first + '!');
             return;
         }
-        logEra(page->era);
         if (firstPageVersion_ < version_) {
             log_.warning("full read is older than the copy; it is not applied",
                          {{"table", name_}, {"version", std::to_string(firstPageVersion_)}, {"copy", std::to_string(version_)}});
@@ -132,6 +144,7 @@
         // A read that is older than the changes already applied must not undo them.
         if (firstPageVersion_ >= version_) {
             version_ = firstPageVersion_;
+            noteEra();
             handlers_.onRows(rows);
             handlers_.onConfirmed(firstPageAt_);
         }
@@ -166,7 +179,8 @@
 
     void onPollAnswered(const absl::StatusOr<TableChanges> &changes, TimePoint sentAt, Milliseconds wait)
     {
-        if (absl::IsOutOfRange(changes.status())) {
+        const bool isOfLaterEra = changes.ok() && StoreVersion::eraOf(changes->version) > StoreVersion::eraOf(version_);
+        if (absl::IsOutOfRange(changes.status()) || isOfLaterEra) {
             log_.warning("change history is incomplete; reading the whole table",
                          {{"table", name_}, {"version", std::to_string(version_)}});
             startRead();
@@ -185,7 +199,6 @@
         pollFailures_ = 0;
         setReachable(true, "");
         const TimePoint now = suspendAwareNow();
-        logEra(changes->era);
         applyChanges(*changes);
         handlers_.onConfirmed(clock_.readingTime(sentAt, changes->serviceTime, now));
         // A service that answers at once without changes must not be polled without a pause.
@@ -199,12 +212,17 @@
         }
     }
 
-    void logEra(std::uint64_t era)
+    /** To be called before the rows of a full read are passed on. */
+    void noteEra()
     {
-        if (era > era_ && era_ > 0) {
-            log_.warning("the service has come back from an older copy", {{"table", name_}, {"era", std::to_string(era)}});
+        const std::uint64_t era = StoreVersion::eraOf(firstPageVersion_);
+        if (std::exchange(era_, era) == era || era <= StoreVersion::FirstEra) {
+            return;
+        }
+        log_.warning("the service has come back from an older copy", {{"table", name_}, {"era", std::to_string(era)}});
+        if (handlers_.onRestored) {
+            handlers_.onRestored();
         }
-        era_ = std::max(era_, era);
     }
 
     void applyChanges(const TableChanges &changes)
@@ -263,7 +281,7 @@
     TimePoint firstPageAt_{};
     /** All changes up to this version were applied. */
     std::uint64_t version_ = 0;
-    /** The highest era that the service has stated. */
+    /** The era of the last full read; 0 before the first one. */
     std::uint64_t era_ = 0;
     /** Number of polls that failed since the last one that succeeded. */
     unsigned pollFailures_ = 0;
--- a/src/libplatform/httptable.h
+++ b/src/libplatform/httptable.h
@@ -7,18 +7,27 @@
 #include "circuitbreaker.h"
 #include "httpclient.h"
 #include "jsontableformat.h"
+#include "storeversion.h"
 #include "suspendclock.h"
 #include "tableformat.h"
 #include "tableservice.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
 namespace Chestnutcove {
 
+/** The highest era that a service has stated, known to all clients of it in this process. */
+struct SeenEra
+{
+    std::uint64_t highest = 0;
+};
+
 struct PlatformOptions
 {
     /** Base URL without a trailing slash. */
@@ -26,6 +35,7 @@
     std::chrono::milliseconds timeout{1000};
     /** Called for a write that the service answered with a status that has no defined meaning, such as that of a row that is too long. */
     std::function<void(int status, const std::string &body)> onWriteRejected;
+    std::shared_ptr<SeenEra> seenEra = std::make_shared<SeenEra>();
 };
 
 template<TableFormat Format>
@@ -85,6 +95,10 @@
         call.freshConnection = freshConnection;
         ++reads_;
         return client_.send(std::move(call), [this, onChanges = std::move(onChanges)](const HttpResult &result) {
+            if (isLate(result)) {
+                onChanges(absl::UnavailableError(LateAnswer));
+                return;
+            }
             onChanges(result.status.ok() ? format_.decodeChanges(result)
                                          : absl::StatusOr<TableChanges>(absl::UnavailableError(std::string(result.status.message()))));
         });
@@ -102,13 +116,21 @@
             onOutcome(CommitOutcome::NotSent);
             return;
         }
+        if (isOfEarlierEra(transaction)) {
+            // The service may have given out the same versions again, for other content.
+            onOutcome(CommitOutcome::Conflict);
+            return;
+        }
         ++writes_;
         HttpCall call = prepareCall(format_.encodeCommit(transaction));
         call.atMostOnce = true;
         client_.send(std::move(call), [this, onOutcome = std::move(onOutcome)](const HttpResult &result) {
-            const CommitOutcome outcome = result.status.ok() ? format_.decodeOutcome(result)
-                : absl::IsUnavailable(result.status)         ? CommitOutcome::NotSent
-                                                             : CommitOutcome::Unknown;
+            CommitOutcome outcome = result.status.ok() ? format_.decodeOutcome(result)
+                : absl::IsUnavailable(result.status)   ? CommitOutcome::NotSent
+                                                       : CommitOutcome::Unknown;
+            if (isLate(result)) {
+                outcome = CommitOutcome::Unknown;
+            }
             recordResult(outcome == CommitOutcome::Committed || outcome == CommitOutcome::Conflict);
             if (result.status.ok() && outcome == CommitOutcome::Unknown && options_.onWriteRejected) {
                 options_.onWriteRejected(result.code, result.body);
@@ -142,6 +164,28 @@
     static constexpr std::uint32_t FailureThreshold = 3;
     static constexpr std::chrono::milliseconds ProbeInterval{500};
 
+    static constexpr const char *LateAnswer = "the answer is of an earlier era of the service";
+
+    /** Notes the era that the service states. @return whether it is an earlier one, so that the answer is out of date. */
+    bool isLate(const HttpResult &result)
+    {
+        if constexpr (EraTableFormat<Format>) {
+            const std::uint64_t era = result.status.ok() ? format_.decodeEra(result) : 0;
+            const bool isEarlier = era > 0 && era < options_.seenEra->highest;
+            options_.seenEra->highest = std::max(options_.seenEra->highest, era);
+            return isEarlier;
+        }
+        return false;
+    }
+
+    /** Whether the transaction was formed with versions of an earlier era. */
+    bool isOfEarlierEra(const TableTransaction &transaction) const
+    {
+        return std::any_of(transaction.conditions.begin(), transaction.conditions.end(), [this](const TableCondition &condition) {
+            return condition.version > 0 && StoreVersion::eraOf(condition.version) < options_.seenEra->highest;
+        });
+    }
+
     HttpCall prepareCall(HttpCall call) const
     {
         call.url = options_.url + call.url;
@@ -170,6 +214,10 @@
                              onResult(absl::UnavailableError(std::string(result.status.message())));
                              return;
                          }
+                         if (isLate(result)) {
+                             onResult(absl::UnavailableError(LateAnswer));
+                             return;
+                         }
                          auto decoded = decode(result);
                          recordResult(decoded.ok());
                          onResult(std::move(decoded));
--- a/src/libplatform/tableformat.h
+++ b/src/libplatform/tableformat.h
@@ -49,8 +49,6 @@
     bool hasMore = false;
     /** The service's steady clock when it took the snapshot, if it states it. */
     std::optional<std::chrono::milliseconds> serviceTime;
-    /** Rises each time the service comes back from an older copy of its data; 0 if it never does. */
-    std::uint64_t era = 0;
 };
 
 /** The changes of a table after a given version. */
@@ -69,8 +67,16 @@
     std::uint64_t version = 0;
     /** The service's steady clock when it answered, if it states it. All changes until then are included. */
     std::optional<std::chrono::milliseconds> serviceTime;
-    /** See TablePage::era. */
-    std::uint64_t era = 0;
+};
+
+/** A format of a service that may come back from an older copy; its decoded versions contain the era (see StoreVersion). */
+template<typename T>
+concept EraTableFormat = TableFormat<T> && requires(const T format, HttpResult result)
+{
+    /** The era that the response states; 0 if it states none. */
+    {
+        format.decodeEra(result)
+        } -> std::same_as<std::uint64_t>;
 };
 
 /** A format of a service that has several tables and reports changes. */
--- a/src/libplatform/tableservice.h
+++ b/src/libplatform/tableservice.h
@@ -18,7 +18,7 @@
 struct TableRow
 {
     std::string value;
-    /** Increases with each write of the row; 0 means that the row doesn't exist. */
+    /** Increases with each write of the row; 0 means that the row doesn't exist. Contains an era, see StoreVersion. */
     std::uint64_t version = 0;
 };
 
--- a/src/libroutes/endpointrecord.h
+++ b/src/libroutes/endpointrecord.h
@@ -47,6 +47,8 @@
     std::optional<EngineStage> stage;
     /** Start time of this run, in milliseconds since the Unix epoch; 0 if the endpoint doesn't report it. */
     std::uint64_t startedAt = 0;
+    /** Rises with each entry that this run of the endpoint writes; 0 if the endpoint doesn't report it. */
+    std::uint64_t sequence = 0;
     /** Time until the cold start ends; the endpoint responds slowly until then. */
     Milliseconds coldStartRemaining{0};
 
--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -20,6 +20,9 @@
 {
     std::set<std::string> present;
     for (const auto &record : records) {
+        if (isBroughtBack(record, now)) {
+            continue;
+        }
         present.insert(record.id);
         onRegistered(record);
     }
@@ -56,8 +59,13 @@
         endedRuns_.push_back(entry.record);
         entry = Entry{.record = record};
     }
-    entry.record = record;
     entry.retainedUntil.reset();
+    if (record.startedAt > 0 && record.sequence < entry.record.sequence) {
+        return;
+    }
+    const bool hasSaidThatItLeaves = entry.record.draining;
+    entry.record = record;
+    entry.record.draining = record.draining || hasSaidThatItLeaves;
 }
 
 void EndpointDirectory::onStageChangeAnnounced(const std::string &id, EngineStage stage, TimePoint until)
@@ -104,11 +112,12 @@
         it->second.retainedUntil = *storeRecoveredAt_ + options_.reregistrationTime;
         return;
     }
-    remove(it);
+    remove(it, now);
 }
 
-void EndpointDirectory::remove(std::map<std::string, Entry>::iterator entry)
+void EndpointDirectory::remove(std::map<std::string, Entry>::iterator entry, TimePoint now)
 {
+    removedRuns_.emplace_back(entry->second.record, now);
     endedRuns_.push_back(entry->second.record);
     entries_.erase(entry);
 }
@@ -129,14 +138,29 @@
     }
 }
 
+void EndpointDirectory::onStoreRestored(TimePoint now)
+{
+    onStoreRecovered(now);
+    storeRestoredAt_ = now;
+}
+
+bool EndpointDirectory::isBroughtBack(const EndpointRecord &record, TimePoint now) const
+{
+    if (!storeRestoredAt_ || now - *storeRestoredAt_ >= options_.reregistrationTime) {
+        return false;
+    }
+    return std::any_of(removedRuns_.begin(), removedRuns_.end(), [&](const auto &item) { return item.first.isSameRun(record); });
+}
+
 std::vector<EndpointRecord> EndpointDirectory::takeEndedRuns(TimePoint now)
 {
     for (auto it = entries_.begin(); it != entries_.end();) {
         const auto current = it++;
         if (current->second.retainedUntil && now >= *current->second.retainedUntil) {
-            remove(current);
+            remove(current, now);
         }
     }
+    std::erase_if(removedRuns_, [&](const auto &item) { return now - item.second >= options_.removedRunMemory; });
     if (storeRecoveredAt_ && now - *storeRecoveredAt_ >= options_.reregistrationTime) {
         storeRecoveredAt_.reset();
     }
--- a/src/libserving/endpointdirectory.h
+++ b/src/libserving/endpointdirectory.h
@@ -1,6 +1,7 @@
 /**
  * The endpoints of all services, from the entries that they register in the store. Entries that disappear during a store outage are
- * retained until the store has been back for long enough for running endpoints to register again.
+ * retained until the store has been back for long enough for running endpoints to register again. What a run has said once, that it is
+ * leaving or that its entry is gone, holds also when the store comes back from an older copy.
  */
 #pragma once
 
@@ -10,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Chestnutcove {
@@ -18,6 +20,8 @@
 {
     /** Time after the store's recovery within which every running endpoint has registered again. */
     Duration reregistrationTime = std::chrono::milliseconds(2200);
+    /** A run that was removed is not taken from an older copy of the store for this long; by then it is gone there too. */
+    Duration removedRunMemory = std::chrono::seconds(30);
 };
 
 class EndpointDirectory
@@ -38,6 +42,8 @@
     void onTurnedAway(const EndpointRecord &record, TimePoint until);
     void onStoreLost();
     void onStoreRecovered(TimePoint now);
+    /** The store has come back from an older copy; entries that are read next may be out of date. */
+    void onStoreRestored(TimePoint now);
 
     /** Removes entries whose retention has expired and returns the runs of endpoints that ended since the last call. */
     std::vector<EndpointRecord> takeEndedRuns(TimePoint now);
@@ -69,13 +75,18 @@
     void onEntryMissing(const std::string &id, TimePoint now);
     /** The entry of this run of the endpoint, or null. */
     Entry *findRun(const EndpointRecord &record);
-    void remove(std::map<std::string, Entry>::iterator entry);
+    void remove(std::map<std::string, Entry>::iterator entry, TimePoint now);
+    /** Whether the entry is one that an older copy of the store has brought back. */
+    bool isBroughtBack(const EndpointRecord &record, TimePoint now) const;
 
     EndpointDirectoryOptions options_;
     std::map<std::string, Entry> entries_;
     std::vector<EndpointRecord> endedRuns_;
     bool isStoreLost_ = false;
     std::optional<TimePoint> storeRecoveredAt_;
+    std::optional<TimePoint> storeRestoredAt_;
+    /** Runs that were removed, and when. */
+    std::vector<std::pair<EndpointRecord, TimePoint>> removedRuns_;
 };
 
 }
--- a/tests/program/tablemirror_test.cpp
+++ b/tests/program/tablemirror_test.cpp
@@ -201,6 +201,27 @@
     awaitPoll();
 }
 
+// Guards against a copy that stays as it was because the service's versions went back.
+TEST_F(TableMirrorTest, ServiceComesBackFromOlderCopy_HistoryIsLost_RowsAreReplaced)
+{
+    answerRead({{"a", {"1", StoreVersion::of(1, 90)}}}, StoreVersion::of(1, 100));
+    answerPoll(absl::OutOfRangeError("no history"));
+    answerRead({{"a", {"0", StoreVersion::of(2, 40)}}}, StoreVersion::of(2, 50));
+    EXPECT_EQ((std::map<std::string, std::string>{{"a", "0"}}), rows_);
+    awaitPoll();
+    EXPECT_EQ(StoreVersion::of(2, 50), table_.polls.front().after);
+}
+
+// Guards against changes that are missed because the service's versions have passed those of the copy.
+TEST_F(TableMirrorTest, ServiceComesBackFromOlderCopy_PollIsAnswered_WholeTableIsRead)
+{
+    answerRead({{"a", {"1", StoreVersion::of(1, 90)}}}, StoreVersion::of(1, 100));
+    answerPoll(change("b", "2", StoreVersion::of(2, 101)));
+    EXPECT_FALSE(rows_.contains("b"));
+    answerRead({{"a", {"0", StoreVersion::of(2, 40)}}, {"b", {"2", StoreVersion::of(2, 101)}}}, StoreVersion::of(2, 101));
+    EXPECT_EQ((std::map<std::string, std::string>{{"a", "0"}, {"b", "2"}}), rows_);
+}
+
 }
 
 }
--- a/tests/serving/endpointdirectory_test.cpp
+++ b/tests/serving/endpointdirectory_test.cpp
@@ -147,6 +147,43 @@
     EXPECT_EQ(usableCount(), 1U);
 }
 
+// Guards against requests to an endpoint that has said that it leaves, or is gone, and that an older copy of the store shows as ready.
+TEST_F(EndpointDirectoryTest, StoreComesBackFromOlderCopy_EndpointsThatLeftOrLeave_StayOut)
+{
+    const EndpointRecord gone = record("gone");
+    const EndpointRecord leaving = record("leaving");
+    const EndpointRecord staying = record("staying");
+    directory_.replaceAll({gone, leaving, staying}, now_);
+    directory_.onEntriesMissing({"gone"}, now_);
+    EndpointRecord says = leaving;
+    says.draining = true;
+    directory_.onRegistered(says);
+    EXPECT_EQ(usableCount(), 1U);
+    now_ += 3s;
+    directory_.onStoreRestored(now_);
+    directory_.replaceAll({gone, leaving, staying}, now_);
+    EXPECT_EQ(usableCount(), 1U);
+    // An endpoint whose entry is written after the return is there.
+    directory_.onRegistered(gone);
+    EXPECT_EQ(usableCount(), 2U);
+}
+
+TEST_F(EndpointDirectoryTest, StoreComesBackFromOlderCopy_OlderEntryOfSameRun_ChangesNothing)
+{
+    EndpointRecord entry = record("a");
+    entry.sequence = 5;
+    entry.stage = EngineStage::Prefill;
+    directory_.onRegistered(entry);
+    entry.sequence = 3;
+    entry.stage = EngineStage::Decode;
+    directory_.onRegistered(entry);
+    EXPECT_EQ(directory_.allEndpoints().front().stage, EngineStage::Prefill);
+    EndpointRecord restarted = record("a", 2);
+    restarted.sequence = 1;
+    directory_.onRegistered(restarted);
+    EXPECT_EQ(directory_.allEndpoints().front().startedAt, 2U);
+}
+
 }
 
 }
--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -6,8 +6,10 @@
 #include "requestcodec.h"
 #include "rowdecoder.h"
 #include "storeformat.h"
+#include "storeversion.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 namespace Chestnutcove::Platform {
@@ -290,6 +292,25 @@
     EXPECT_TRUE(absl::IsOutOfRange(StoreFormat().decodeChanges(result).status()));
 }
 
+TEST(Store, AnswersStateEra_VersionsDecodedAndEncoded_RiseWithTheEraAndAreSentWithoutIt)
+{
+    HttpResult result;
+    result.code = 200;
+    result.body = R"({"rows":[{"table":"t","part":"","key":"a","value":"eA==","ver":3}],"more_pages":false,"ver":9,"now_ms":1})";
+    result.headers = {{"store-era", "2"}};
+    const auto page = StoreFormat().decodePage(result);
+    ASSERT_TRUE(page.ok());
+    EXPECT_EQ(page->version, StoreVersion::of(2, 9));
+    EXPECT_GT(page->rows.at("a").version, StoreVersion::of(1, 9));
+    EXPECT_NE(StoreFormat().encodeChanges("t", page->version, std::chrono::milliseconds(10)).url.find("after=9&"), std::string::npos);
+    const TableTransaction transaction{{{"a", page->rows.at("a").version}, {"b", 0}}, {}};
+    const auto body = nlohmann::json::parse(StoreFormat().encodeCommit(transaction).body);
+    EXPECT_EQ(body["expected"][0]["ver"], 3);
+    EXPECT_EQ(body["expected"][1]["ver"], 0);
+    result.headers.clear();
+    EXPECT_EQ(StoreFormat().decodePage(result)->version, 9U);
+}
+
 /** Decoding arbitrary bytes yields a value or an error. */
 RC_GTEST_PROP(Decoders, ArbitraryBytes_Decoded_NeverCrash, (const std::string &bytes))
 {
