LeaseKeeper: a store that comes back older neither ends a lease nor gives an epoch out again

Class: knowledge that only the store had is taken for the whole of it.

The newest row known (by epoch, then by renewals) counts; who knows it writes it again, the holder as a renewal, while its own lease is valid. Nobody acquires the lease before the row has stood unchanged for the lease's duration in the new era, also a vacant row or an own one, so those that know more have the time. Epochs of a later era are above all of an earlier one, so not even an epoch that no living process knows is given out again. A read that is older than an own committed write no longer ends the lease. The client sends no transaction that was formed in an earlier era, and takes none for committed whose answer comes from a later one.

Three tests of single cases.

--- a/src/chestnutcove/dutylease.h
+++ b/src/chestnutcove/dutylease.h
@@ -30,6 +30,7 @@
                    std::uint64_t incarnation,
                    LeaseOptions options)
         : log_(log)
+        , table_(table)
         , duty_(std::move(duty))
         , writer_(std::move(executor), table, options.duration)
         , keeper_(holder, incarnation, options)
@@ -47,12 +48,12 @@
     {
         const auto it = rows.find(rowKey());
         if (it == rows.end()) {
-            keeper_.onRowRead(std::nullopt, 0, now);
+            keeper_.onRowRead(std::nullopt, 0, now, table_.era());
             return;
         }
         const auto row = LeaseRow::fromText(it->second.value);
         if (row.ok()) {
-            keeper_.onRowRead(*row, it->second.version, now);
+            keeper_.onRowRead(*row, it->second.version, now, table_.era());
         } else {
             log_.error("lease row unreadable", {{"duty", duty_}});
         }
@@ -107,6 +108,7 @@
     }
 
     const Log &log_;
+    Table &table_;
     std::string duty_;
     TableWriter<Table> writer_;
     LeaseKeeper keeper_;
--- a/src/libauthority/leasekeeper.h
+++ b/src/libauthority/leasekeeper.h
@@ -5,6 +5,10 @@
  * The holder counts validity from the time at which it sent the renewal, and ends it early by a margin for clock drift. Another process
  * acquires the lease only after it observed the row unchanged for the whole lease duration on its own clock. The clocks of the processes
  * need not be synchronised.
+ *
+ * A store that comes back from an older copy shows an older row. The newest row that any process knows is written again by those that know
+ * it; nobody acquires the lease before the row has stood unchanged for the lease duration in the new era, so that they have the time.
+ * Epochs of a later era are above all of an earlier one, also above those that no living process knows.
  */
 #pragma once
 
@@ -57,8 +61,9 @@
 public:
     LeaseKeeper(std::string holder, std::uint64_t incarnation, LeaseOptions options);
 
-    /** Passes on the row as it was read; version 0 where there is no row. */
-    void onRowRead(const std::optional<LeaseRow> &row, std::uint64_t version, TimePoint now);
+    /** Passes on the row as it was read; version 0 where there is no row. @param era the store's (see StoreVersion), 0 if it states none.
+     */
+    void onRowRead(const std::optional<LeaseRow> &row, std::uint64_t version, TimePoint now, std::uint64_t era = 0);
     /** The write to send now, if any. There is no further write until the outcome of this one is reported by an onWrite...() function. */
     std::optional<LeaseWrite> nextWrite(TimePoint now);
     /** The write took effect. The row's new version becomes known with the next read. */
@@ -84,16 +89,27 @@
 private:
     /** Whether the row names this incarnation of the process as the holder. */
     bool ownsRow() const;
+    /** The epoch of an acquisition: above all epochs known, and above those of earlier eras. */
+    std::uint64_t nextEpoch() const;
 
     std::string holder_;
     std::uint64_t incarnation_;
     LeaseOptions options_;
+    /** The newest row known: read, or written by this process. */
     LeaseRow row_;
-    /** Valid only while rowKnown_ is true. */
+    /** The version that was read last; that of the stored row only while rowKnown_ is true. */
     std::uint64_t version_ = 0;
+    /** The highest era in which the row was read. */
+    std::uint64_t era_ = 0;
+    /** The stored row is older than row_. */
+    bool isStoredOlder_ = false;
+    /** The row was not seen to change in this era, so also a vacant one may be out of date. */
+    bool mustObserve_ = false;
+    /** This process has written the row since it read version_. */
+    bool hasCommitted_ = false;
     /** Whether the row was read after the outcome of the last write. */
     bool rowKnown_ = false;
-    /** When this process first saw the current content of the row, on its own clock. */
+    /** When this process first saw the current content of the row in this era, on its own clock. */
     TimePoint unchangedSince_;
     /** End of validity; extended only by a committed write of this process. */
     TimePoint validUntil_{};
@@ -103,6 +119,8 @@
     {
         LeaseWrite write;
         TimePoint sentAt;
+        /** The write acquires or renews the lease, rather than writing an older row again. */
+        bool extendsValidity = true;
     };
     std::optional<Pending> pending_;
     /** release() was called. */
--- a/src/libplatform/httptable.h
+++ b/src/libplatform/httptable.h
@@ -118,17 +118,20 @@
         }
         if (isOfEarlierEra(transaction)) {
             // The service may have given out the same versions again, for other content.
-            onOutcome(CommitOutcome::Conflict);
+            onOutcome(CommitOutcome::NotSent);
             return;
         }
         ++writes_;
         HttpCall call = prepareCall(format_.encodeCommit(transaction));
         call.atMostOnce = true;
-        client_.send(std::move(call), [this, onOutcome = std::move(onOutcome)](const HttpResult &result) {
+        client_.send(std::move(call), [this, eraAtSending = era(), onOutcome = std::move(onOutcome)](const HttpResult &result) {
             CommitOutcome outcome = result.status.ok() ? format_.decodeOutcome(result)
                 : absl::IsUnavailable(result.status)   ? CommitOutcome::NotSent
                                                        : CommitOutcome::Unknown;
-            if (isLate(result)) {
+            const bool isOfEarlierEra = isLate(result);
+            const bool hasEraRisen = eraAtSending > 0 && era() > eraAtSending;
+            if (outcome == CommitOutcome::Committed && (isOfEarlierEra || hasEraRisen)) {
+                // It may have taken effect in either era, and what it wrote may be gone.
                 outcome = CommitOutcome::Unknown;
             }
             recordResult(outcome == CommitOutcome::Committed || outcome == CommitOutcome::Conflict);
@@ -139,6 +142,12 @@
         });
     }
 
+    /** The highest era that the service has stated (see StoreVersion); 0 if it states none. */
+    std::uint64_t era() const
+    {
+        return options_.seenEra->highest;
+    }
+
     /** Number of read calls since the start, for metrics. */
     std::uint64_t readCount() const
     {
--- a/tests/authority/leasekeeper_test.cpp
+++ b/tests/authority/leasekeeper_test.cpp
@@ -5,11 +5,15 @@
 #include "leasekeeper.h"
 
 #include "randomsteps.h"
+#include "storeversion.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <memory>
+#include <tuple>
+#include <utility>
 
 namespace Chestnutcove {
 
@@ -24,6 +28,8 @@
     AcquiresWithoutObserving,
     /** A process counts validity from the answer to its write instead of from the request. */
     CountsFromAnswer,
+    /** Processes don't know that the store has come back from an older copy. */
+    IgnoresEras,
 };
 
 struct Process
@@ -34,6 +40,10 @@
     /** The store has applied the write. */
     bool applied = false;
     std::uint64_t incarnation = 0;
+    /** The highest era in which it has read the row. */
+    std::uint64_t seenEra = 0;
+    /** The era in which its write was formed. */
+    std::uint64_t writeEra = 0;
 };
 
 /** Two processes, the lease row and the writes in flight. */
@@ -61,7 +71,7 @@
         Process &process = processes_[index];
         // An unfinished write of the previous process may still take effect.
         if (process.write && !process.applied) {
-            delayedWrites_.push_back(*process.write);
+            delayedWrites_.push_back({*process.write, process.writeEra});
         }
         process = Process{std::make_unique<LeaseKeeper>("entry-" + std::to_string(index), ++lastIncarnation_, options),
                           std::nullopt,
@@ -78,7 +88,22 @@
 
     void readRow(std::size_t index)
     {
-        processes_[index].keeper->onRowRead(version_ == 0 ? std::nullopt : std::optional(row_), version_, now_);
+        Process &process = processes_[index];
+        const std::uint64_t era = fault_ == Fault::IgnoresEras ? 1 : era_;
+        process.seenEra = era;
+        process.keeper->onRowRead(version_ == 0 ? std::nullopt : std::optional(row_), StoreVersion::of(era, version_), now_, era);
+    }
+
+    void copyStore()
+    {
+        copy_ = {row_, version_};
+    }
+
+    /** The store comes back from its copy; versions are given out again. */
+    void restoreStore()
+    {
+        std::tie(row_, version_) = copy_;
+        ++era_;
     }
 
     void startWrite(std::size_t index)
@@ -90,6 +115,7 @@
         process.write = process.keeper->nextWrite(now_);
         process.sentAt = now_;
         process.applied = false;
+        process.writeEra = fault_ == Fault::IgnoresEras ? era_ : process.seenEra;
     }
 
     /** The store applies the write; the process has not received the answer yet. */
@@ -98,14 +124,14 @@
         Process &process = processes_[index];
         if (process.write && !process.applied) {
             process.applied = true;
-            writeCommitted_[index] = commit(*process.write);
+            writeCommitted_[index] = commit(*process.write, process.writeEra);
         }
     }
 
     void applyDelayedWrite()
     {
         if (!delayedWrites_.empty()) {
-            commit(delayedWrites_.back());
+            commit(delayedWrites_.back().first, delayedWrites_.back().second);
             delayedWrites_.pop_back();
         }
     }
@@ -118,7 +144,7 @@
         }
         if (lost || !process.applied) {
             if (!process.applied) {
-                delayedWrites_.push_back(*process.write);
+                delayedWrites_.push_back({*process.write, process.writeEra});
             }
             process.keeper->onWriteOutcomeUnknown();
         } else if (writeCommitted_[index]) {
@@ -139,9 +165,11 @@
     }
 
 private:
-    bool commit(const LeaseWrite &write)
+    /** @param era in which the write was formed; the client keeps one of an earlier era from taking effect. */
+    bool commit(const LeaseWrite &write, std::uint64_t era)
     {
-        if (write.expectedVersion != version_) {
+        const bool isOfEarlierEra = era > 0 && era < era_;
+        if (isOfEarlierEra || StoreVersion::numberOf(write.expectedVersion) != version_) {
             return false;
         }
         row_ = write.row;
@@ -157,6 +185,19 @@
     void recordConflict()
     {
         conflict_ = conflict_ || (holdsLease(0) && holdsLease(1));
+        for (const std::size_t index : {0, 1}) {
+            if (holdsLease(index)) {
+                recordHolder(processes_[index]);
+            }
+        }
+    }
+
+    /** An epoch must never be given out twice, nor a lower one after a higher one. */
+    void recordHolder(const Process &process)
+    {
+        const std::uint64_t epoch = process.keeper->epoch();
+        const auto [it, isNew] = holders_.emplace(epoch, process.incarnation);
+        conflict_ = conflict_ || it->second != process.incarnation || (isNew && holders_.rbegin()->first != epoch);
     }
 
     Fault fault_;
@@ -166,12 +207,19 @@
     Process processes_[2];
     bool writeCommitted_[2] = {};
     Duration answerDelay_[2] = {};
-    std::vector<LeaseWrite> delayedWrites_;
+    /** With the eras in which they were formed. */
+    std::vector<std::pair<LeaseWrite, std::uint64_t>> delayedWrites_;
+    std::pair<LeaseRow, std::uint64_t> copy_;
+    std::uint64_t era_ = 1;
+    /** Incarnations of holders by epoch. */
+    std::map<std::uint64_t, std::uint64_t> holders_;
     std::uint64_t lastIncarnation_ = 0;
     bool conflict_ = false;
 };
 
 constexpr int StepKinds = 16;
+/** With a store that comes back from older copies. */
+constexpr int StepKindsWithCopies = 19;
 
 bool conflicts(Fault fault, const std::vector<Step> &steps)
 {
@@ -206,6 +254,12 @@
         case 12:
             simulation.applyDelayedWrite();
             break;
+        case 16:
+            simulation.copyStore();
+            break;
+        case 17:
+            simulation.restoreStore();
+            break;
         default:
             simulation.advance(std::chrono::milliseconds(step.argument * 6));
             break;
@@ -225,6 +279,18 @@
     RC_ASSERT(!conflicts(Fault::None, steps));
 }
 
+RC_GTEST_PROP(LeaseKeeper, StoreComesBackFromOlderCopies_NeverTwoHoldersAndNoEpochTwice, ())
+{
+    const auto steps = *rc::gen::container<std::vector<Step>>(anyStep(StepKindsWithCopies));
+    RC_ASSERT(!conflicts(Fault::None, steps));
+}
+
+TEST(LeaseKeeperOracle, ErasIgnored_ConflictIsDetected)
+{
+    EXPECT_TRUE(anySequenceMatches(
+        5000, 200, StepKindsWithCopies, [](const std::vector<Step> &steps) { return conflicts(Fault::IgnoresEras, steps); }));
+}
+
 TEST(LeaseKeeperOracle, AcquiredWithoutObserving_ConflictIsDetected)
 {
     EXPECT_TRUE(detectsConflict(Fault::AcquiresWithoutObserving));
@@ -251,6 +317,61 @@
     EXPECT_TRUE(successor.mayAct(start + options.duration + options.activationDelay));
 }
 
+/** A holder whose lease the store has forgotten. */
+class RestoredLease : public testing::Test
+{
+protected:
+    static constexpr std::uint64_t OldVersion = StoreVersion::of(1, 50);
+    static constexpr std::uint64_t NewVersion = StoreVersion::of(2, 40);
+
+    LeaseOptions options_;
+    TimePoint start_{1h};
+    const LeaseRow older_{"a", 1, 7, 3};
+    const LeaseRow newer_{"b", 2, 8, 0};
+    LeaseKeeper keeper_{"c", 3, options_};
+};
+
+TEST_F(RestoredLease, ProcessKnowsNewerRow_OlderRowIsRead_NewerOneIsWrittenAgainAndNotTaken)
+{
+    keeper_.onRowRead(newer_, OldVersion, start_, 1);
+    keeper_.onRowRead(older_, NewVersion, start_ + 1s, 2);
+    const auto write = keeper_.nextWrite(start_ + 1s);
+    ASSERT_TRUE(write);
+    EXPECT_EQ(write->row, newer_);
+    EXPECT_EQ(write->expectedVersion, NewVersion);
+    keeper_.onWriteCommitted(start_ + 1s);
+    EXPECT_FALSE(keeper_.isValid(start_ + 1s));
+    keeper_.onRowRead(newer_, NewVersion + 1, start_ + 2s, 2);
+    EXPECT_FALSE(keeper_.nextWrite(start_ + 1s + options_.duration - 1ms));
+    const auto acquisition = keeper_.nextWrite(start_ + 1s + options_.duration);
+    ASSERT_TRUE(acquisition);
+    EXPECT_GT(acquisition->row.epoch, newer_.epoch);
+}
+
+TEST_F(RestoredLease, HolderIsValid_OlderRowIsRead_LeaseGoesOnUnderItsEpoch)
+{
+    LeaseKeeper holder("b", 2, options_);
+    holder.onRowRead(std::nullopt, 0, start_, 1);
+    ASSERT_TRUE(holder.nextWrite(start_));
+    holder.onWriteCommitted(start_);
+    const auto epoch = holder.epoch();
+    holder.onRowRead(std::nullopt, 0, start_ + 1s, 2);
+    EXPECT_TRUE(holder.isValid(start_ + 1s));
+    ASSERT_TRUE(holder.nextWrite(start_ + 1s));
+    holder.onWriteCommitted(start_ + 1s);
+    EXPECT_EQ(holder.epoch(), epoch);
+    EXPECT_TRUE(holder.isValid(start_ + 1s + options_.duration - options_.driftMargin - 1ms));
+}
+
+TEST_F(RestoredLease, ProcessStartsInLaterEra_VacantRow_IsObservedFirstAndEpochIsAboveAllOfEarlierEras)
+{
+    keeper_.onRowRead(LeaseRow{"", 0, 7, 4}, NewVersion, start_, 2);
+    EXPECT_FALSE(keeper_.nextWrite(start_ + options_.duration - 1ms));
+    const auto write = keeper_.nextWrite(start_ + options_.duration);
+    ASSERT_TRUE(write);
+    EXPECT_GT(write->row.epoch, 10000U);
+}
+
 class ReleasedLease : public testing::Test
 {
 protected:
