UsageReporter: a window that was reported isn't reported with other counts when the store has forgotten its seal

Cause: seals and progress were taken for the whole truth, and gateways took figures for stored that were gone.

Progress names the era in which it was written. A holder whose stored progress is of an earlier era, and that doesn't know better itself, begins with the first window that had not ended when it saw the new era; no earlier one is touched, so windows between may be missed, never reported twice. Figures that a process has sent stay those of their window, also in a new seal. Each gateway stores the figures of the last four windows again, and until that is done a window is sealed no earlier than at its latest time.

New test of the ledger.

--- a/src/chestnutcove/usagereporter.h
+++ b/src/chestnutcove/usagereporter.h
@@ -4,6 +4,10 @@
  *
  * A window is sealed by one conditional write, so its figures never change afterwards. Only sealed windows are reported. Before a lease
  * holder reports a window, it writes an intent row with its epoch. A report may be repeated, always with the same figures.
+ *
+ * A store that comes back from an older copy may have forgotten seals and that windows were reported. Figures that this process has sent
+ * stay the figures of their window. A lease holder that can't know what was reported, since the stored progress is of an earlier era,
+ * begins with the first window that had not ended when it saw the new era: no other can have been sealed before.
  */
 #pragma once
 
@@ -11,6 +15,7 @@
 #include "jsonusagesink.h"
 #include "metrics.h"
 #include "sealschedule.h"
+#include "storeversion.h"
 #include "suspendclock.h"
 #include "usageledger.h"
 #include "usagereport.h"
@@ -20,6 +25,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -46,6 +52,8 @@
 inline constexpr const char *ProgressKey = "usage/progress";
 /** Stored figures of reported windows are kept for this many windows, for gateways that could not reach the store. */
 inline constexpr WindowNumber RetainedWindows = 120;
+/** Number of past windows whose figures are stored again after the store came back from an older copy. */
+inline constexpr WindowNumber RestoredWindows = 4;
 /** Number of past windows that are processed if no window was ever reported. */
 inline constexpr WindowNumber InitialLookBackWindows = 3;
 
@@ -115,6 +123,11 @@
     };
 
     WindowNumber currentWindow() const;
+    /** Whether the store has come back from an older copy in the lifetime of the fleet. */
+    bool isInLaterEra() const;
+    void noteEra(TimePoint now);
+    /** The last window that was reported, or that may have been. @param progress the stored one, of any era. */
+    WindowNumber lastReportedBy(const nlohmann::json &progress) const;
     bool hasUnstoredClosedWindow() const;
     bool isSealDue(WindowNumber window) const;
     void flush();
@@ -149,6 +162,12 @@
     std::uint64_t progressEpoch_ = 0;
     /** The last reported window; all windows before it are done. */
     std::optional<WindowNumber> lastReported_;
+    /** Figures that this process has sent for windows. */
+    std::map<WindowNumber, std::string> sentFigures_;
+    /** The store's era (see StoreVersion), when it was first seen, and the window that was current then. */
+    std::uint64_t era_ = 0;
+    TimePoint eraSeenAt_{};
+    WindowNumber firstWindowOfEra_ = 0;
     State state_ = State::Idle;
 };
 
@@ -218,6 +237,7 @@
 void BasicUsageReporter<Table, Sink>::tick(TimePoint now)
 {
     clock_.observe(std::chrono::system_clock::now(), now);
+    noteEra(now);
     const WindowNumber current = currentWindow();
     const bool hasWindowEnded = std::exchange(windowAtLastTick_, current) != current;
     if (hasWindowEnded || now >= nextFlushAt_) {
@@ -230,6 +250,39 @@
     }
 }
 
+template<TableService Table, UsageSink Sink>
+bool BasicUsageReporter<Table, Sink>::isInLaterEra() const
+{
+    return era_ > StoreVersion::FirstEra;
+}
+
+template<TableService Table, UsageSink Sink>
+void BasicUsageReporter<Table, Sink>::noteEra(TimePoint now)
+{
+    const std::uint64_t era = table_.era();
+    if (era <= era_) {
+        return;
+    }
+    const bool isFirstSeen = std::exchange(era_, era) == 0;
+    eraSeenAt_ = now;
+    firstWindowOfEra_ = currentWindow();
+    if (!isFirstSeen) {
+        ledger_.onStoreRestored(firstWindowOfEra_ - std::min(firstWindowOfEra_, UsageRows::RestoredWindows));
+    }
+}
+
+template<TableService Table, UsageSink Sink>
+WindowNumber BasicUsageReporter<Table, Sink>::lastReportedBy(const nlohmann::json &progress) const
+{
+    const bool isKnown = progress.is_object();
+    const WindowNumber stored = isKnown ? progress.value("reported", WindowNumber{0}) : currentWindow() - UsageRows::InitialLookBackWindows;
+    const bool isOfThisEra = isKnown && progress.value("era", std::uint64_t{0}) == era_;
+    if (!isInLaterEra() || isOfThisEra) {
+        return stored;
+    }
+    return std::max({stored, firstWindowOfEra_ - 1, lastReported_.value_or(0)});
+}
+
 template<TableService Table, UsageSink Sink>
 bool BasicUsageReporter<Table, Sink>::hasUnstoredClosedWindow() const
 {
@@ -247,7 +300,9 @@
 bool BasicUsageReporter<Table, Sink>::isSealDue(WindowNumber window) const
 {
     const auto end = (window + 1) * options_.window;
-    return options_.sealSchedule.isDue(clock_.at(suspendAwareNow()).time_since_epoch() - end, allStored_(window));
+    // Gateways store the figures again that the store has forgotten; until then what they say of stored figures is out of date.
+    const bool isRestoring = isInLaterEra() && suspendAwareNow() - eraSeenAt_ < 2 * options_.flushInterval;
+    return options_.sealSchedule.isDue(clock_.at(suspendAwareNow()).time_since_epoch() - end, !isRestoring && allStored_(window));
 }
 
 template<TableService Table, UsageSink Sink>
@@ -337,7 +392,7 @@
         const auto it = rows->find(UsageRows::ProgressKey);
         const auto json = it == rows->end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
         progressEpoch_ = epoch;
-        lastReported_ = json.is_object() ? json.value("reported", std::uint64_t{0}) : currentWindow() - UsageRows::InitialLookBackWindows;
+        lastReported_ = lastReportedBy(json);
     });
 }
 
@@ -370,8 +425,12 @@
 void BasicUsageReporter<Table, Sink>::writeSeal(WindowNumber window, const TableRows &rows)
 {
     CustomerUsage total;
+    const auto sent = sentFigures_.find(window);
+    if (sent != sentFigures_.end()) {
+        total = usageFromText(sent->second).value_or(CustomerUsage{});
+    }
     for (const auto &[key, row] : rows) {
-        if (!key.starts_with(UsageRows::windowPrefix(window))) {
+        if (sent != sentFigures_.end() || !key.starts_with(UsageRows::windowPrefix(window))) {
             continue;
         }
         const auto usage = usageFromText(row.value);
@@ -454,7 +513,8 @@
         state_ = State::Idle;
         return;
     }
-    const auto customers = usageFromText(figures);
+    const std::string &sent = sentFigures_.try_emplace(window, figures).first->second;
+    const auto customers = usageFromText(sent);
     const UsageReport report{window, options_.window, options_.vmName, lease_.keeper().epoch(), customers.value_or(CustomerUsage{})};
     sink_.report(report, std::min(options_.reportTimeout, leaseTimeLeft), [this, window](bool accepted) {
         if (accepted) {
@@ -475,12 +535,13 @@
     metrics_.distribution("usage_report_delay_seconds").add(std::chrono::duration<double>(delay).count());
     log_.info("usage window reported", {{"window", std::to_string(window)}, {"epoch", std::to_string(lease_.keeper().epoch())}});
     TableTransaction transaction;
-    transaction.puts = {{UsageRows::ProgressKey, nlohmann::json{{"reported", window}}.dump()}};
+    transaction.puts = {{UsageRows::ProgressKey, nlohmann::json{{"reported", window}, {"era", era_}}.dump()}};
     table_.commit(transaction, [this, window](CommitOutcome) {
         // If the progress row was not written, a later lease holder reports the same figures again.
         lastReported_ = window;
         state_ = State::Idle;
         if (window > UsageRows::RetainedWindows) {
+            sentFigures_.erase(sentFigures_.begin(), sentFigures_.lower_bound(window - UsageRows::RetainedWindows));
             deleteWindowRows(window - UsageRows::RetainedWindows);
         }
     });
--- a/src/libusage/usageledger.cpp
+++ b/src/libusage/usageledger.cpp
@@ -107,6 +107,13 @@
     return late;
 }
 
+void UsageLedger::onStoreRestored(WindowNumber first)
+{
+    for (auto it = windows_.lower_bound(first); it != windows_.end(); ++it) {
+        it->second.stored.clear();
+    }
+}
+
 bool UsageLedger::isFlushed() const
 {
     return !pending_
--- a/src/libusage/usageledger.h
+++ b/src/libusage/usageledger.h
@@ -68,6 +68,9 @@
     /** The outcome of the pending flush is unknown: the same figures, or more, will be written again. */
     void onFlushOutcomeUnknown();
 
+    /** The store may have forgotten what it stored of windows from @p first on, so they are written again. */
+    void onStoreRestored(WindowNumber first);
+
     bool isFlushed() const;
     /** The oldest window with figures that are not confirmed as stored. */
     std::optional<WindowNumber> oldestUnstored() const;
--- a/tests/usage/usageledger_test.cpp
+++ b/tests/usage/usageledger_test.cpp
@@ -162,6 +162,25 @@
     EXPECT_FALSE(usageFromText("{}").ok());
 }
 
+// Guards against figures that a store forgot which came back from an older copy.
+TEST(UsageLedgerRestoredStore, FiguresWereStored_StoreForgetsThem_TheyAreFlushedAgain)
+{
+    UsageLedger ledger(LateUsagePolicy::Drop);
+    for (const WindowNumber window : {5, 6}) {
+        ledger.add(window, "desk", {3, 0, 0});
+        ASSERT_TRUE(ledger.nextFlush());
+        ledger.onFlushed();
+    }
+    EXPECT_TRUE(ledger.isFlushed());
+    ledger.onStoreRestored(6);
+    const auto flush = ledger.nextFlush();
+    ASSERT_TRUE(flush);
+    EXPECT_EQ(flush->window, 6U);
+    EXPECT_EQ(flush->figures.at("desk").requests, 3U);
+    ledger.onFlushed();
+    EXPECT_TRUE(ledger.isFlushed());
+}
+
 }
 
 }
