PlatformGateway: an operator's configuration that was written again after the store's return proves that keys are fresh

The operator had written its configuration again before the gateways' first read, which shows in the row's version: it differs from the one under which the gateway had read the same configuration. That ends the wait at once. In addition polls are held for 0.3 s at most for 3 s after a return.

Tests: OperatorHasWrittenAgainAtTheReturn (failed within 1.5 s without the comparison of versions: seen with a row that got its old version back by chance) and the one of the division.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -2,6 +2,7 @@
 
 #include "rendezvous.h"
 #include "rowdecoder.h"
+#include "storeversion.h"
 #include "suspendclock.h"
 
 #include <asio/ip/address_v4.hpp>
@@ -146,14 +147,14 @@
                            configurationMirrorOptions(settings_),
                            {[this](const TableRows &rows) {
                                 if (const auto it = rows.find(Platform::ConfigurationKey); it != rows.end()) {
-                                    onConfiguration(it->second.value);
+                                    onConfiguration(it->second.value, it->second.version);
                                 }
                             },
                             [this](const auto &changes) {
                                 for (const auto &change : changes) {
                                     if (change.value) {
                                         configurationRestoredAt_.reset();
-                                        onConfiguration(*change.value);
+                                        onConfiguration(*change.value, change.version);
                                     }
                                 }
                             },
@@ -249,13 +250,18 @@
     (*startTimer)();
 }
 
-void PlatformGateway::onConfiguration(const std::string &value)
+void PlatformGateway::onConfiguration(const std::string &value, std::uint64_t rowVersion)
 {
     auto configuration = Platform::decodeConfiguration(value);
     if (!configuration.ok()) {
         log_.error("configuration unreadable", {{"reason", std::string(configuration.status().message())}});
         return;
     }
+    const bool isInForce = catalogue_ && configuration->version == catalogue_->version();
+    if (isInForce && StoreVersion::numberOf(rowVersion) != StoreVersion::numberOf(configurationRowVersion_)) {
+        // The operator has written it again since the store's return.
+        configurationRestoredAt_.reset();
+    }
     // Versions only increase. A read whose result arrives late must not restore an older version.
     if (catalogue_ && configuration->version <= catalogue_->version()) {
         return;
@@ -266,6 +272,7 @@
                {"routes", std::to_string(configuration->routes.size())},
                {"customers", std::to_string(configuration->customers.size())}});
     catalogue_ = std::make_shared<const RouteCatalogue>(std::move(*configuration));
+    configurationRowVersion_ = rowVersion;
 }
 
 void PlatformGateway::onConfigurationConfirmed(TimePoint time)
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -61,7 +61,8 @@
     /** The configuration that was read last was still the stored one at @p time. */
     void onConfigurationConfirmed(TimePoint time);
     void runEvery(Milliseconds interval, std::function<void(TimePoint)> action);
-    void onConfiguration(const std::string &value);
+    /** @param rowVersion of the row that was read. */
+    void onConfiguration(const std::string &value, std::uint64_t rowVersion);
     void onEndpointRows(const TableRows &rows, TimePoint now);
     void onEndpointChanges(const std::vector<TableChanges::Change> &changes, TimePoint now);
     std::optional<EndpointRecord> decodeEndpoint(const std::string &id, const std::string &value);
@@ -107,6 +108,8 @@
     PlatformTable table_;
     /** Null until the first configuration was read. */
     std::shared_ptr<const RouteCatalogue> catalogue_;
+    /** The version of the row from which it was read first. */
+    std::uint64_t configurationRowVersion_ = 0;
     ReadFreshness configurationFreshness_;
     /** Set while the store holds an older copy of the configuration, or may do so; see onConfigurationConfirmed(). */
     std::optional<TimePoint> configurationRestoredAt_;
--- a/src/chestnutcove/tablemirror.h
+++ b/src/chestnutcove/tablemirror.h
@@ -33,6 +33,9 @@
     /** Pause after a poll that failed, which doubles with each failure up to the maximum, or that returned at once without changes. */
     Milliseconds pollRetryInterval{200};
     Milliseconds maxPollRetryInterval{800};
+    /** The same for some time after the service came back from an older copy, since much is written again then. */
+    Milliseconds restoredLongPollTimeout{300};
+    Milliseconds restoredPeriod{3000};
     /** Pause after a poll that returned changes, so that changes which follow each other closely are returned together. */
     Milliseconds coalescingPause{20};
 };
@@ -167,7 +170,8 @@
     void pollChanges()
     {
         // After a failure the service is asked to answer at once, so that the copy is confirmed again soon.
-        const Milliseconds wait = pollFailures_ > 0 ? Milliseconds::zero() : options_.longPollTimeout;
+        const Milliseconds longest = suspendAwareNow() < restoredUntil_ ? options_.restoredLongPollTimeout : options_.longPollTimeout;
+        const Milliseconds wait = pollFailures_ > 0 ? Milliseconds::zero() : longest;
         table_.getChanges(name_,
                           version_,
                           wait,
@@ -220,6 +224,7 @@
             return;
         }
         log_.warning("the service has come back from an older copy", {{"table", name_}, {"era", std::to_string(era)}});
+        restoredUntil_ = suspendAwareNow() + options_.restoredPeriod;
         if (handlers_.onRestored) {
             handlers_.onRestored();
         }
@@ -283,6 +288,7 @@
     std::uint64_t version_ = 0;
     /** The era of the last full read; 0 before the first one. */
     std::uint64_t era_ = 0;
+    TimePoint restoredUntil_{};
     /** Number of polls that failed since the last one that succeeded. */
     unsigned pollFailures_ = 0;
     bool isReading_ = false;
--- a/tests/processes/restoredstore_test.cpp
+++ b/tests/processes/restoredstore_test.cpp
@@ -114,6 +114,43 @@
     EXPECT_TRUE(waitUntilServed("key-2"));
 }
 
+// Guards against keyed requests that are refused although the operator has written the configuration again.
+TEST_F(RestoredStoreTest, OperatorHasWrittenAgainAtTheReturn_KeyedRequests_AreServedAtOnce)
+{
+    ASSERT_TRUE(waitUntilServed("key-1"));
+    copyStore();
+    putConfiguration(2, {"key-2"});
+    ASSERT_TRUE(waitUntilServed("key-2"));
+    callAdmin("/admin/faults", {{"down", true}});
+    raiseVersions();
+    ASSERT_TRUE(waitUntil([&] { return sendOrder("/orders/1", "key-2").code == 503; }, 4000));
+    restoreStore();
+    // Otherwise the row would get the very version that it had.
+    putRow("unrelated", "row", 0);
+    putConfiguration(2, {"key-2"});
+    callAdmin("/admin/faults", {{"down", false}});
+    EXPECT_TRUE(waitUntil([&] { return sendOrder("/orders/1", "key-2").code == 200; }, 1500));
+}
+
+// Guards against shares of limits that nobody may spend because the store has forgotten the division.
+TEST_F(RestoredStoreTest, StoreHoldsNoDivision_RequestsWithALimit_AreServedAndItIsWrittenAgain)
+{
+    copyStore();
+    ASSERT_TRUE(waitUntilServed("key-1"));
+    std::this_thread::sleep_for(1s);
+    restoreStore();
+    putConfiguration(1, {"key-1"});
+    const auto divisions = [&] {
+        TestRequest call;
+        call.url = "http://127.0.0.1:" + std::to_string(platform_.port("port"))
+            + "/chestnutcove/rows-get?table=chestnutcove-shared&part=&from=quota%2Fdivision&target=quota%2Fdivision!";
+        return sendRequest(call).json["rows"].size();
+    };
+    EXPECT_TRUE(waitUntil([&] { return divisions() == 1; }, 2000));
+    serveFor(6s);
+    EXPECT_EQ(sendOrder("/orders/1", "key-1").code, 200);
+}
+
 // Guards against a usage window that is reported again with other counts, since its seal was lost.
 TEST_F(RestoredStoreTest, SealsAreLost_ReportedWindows_AreNotReportedWithOtherCounts)
 {
