test.sh: three newer names of the users' platform must not stand outside platform/ either

Server-Limit, Server-Leaving and Store-Era are known in platform/ only; the check didn't look for them. None stands elsewhere now (the check passes).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -36,7 +36,7 @@
 }
 if [ "$checks" = yes ]; then
     # The users' platform's names are decoded in platform/ and known nowhere else.
-    platform_words='Attempt-Id|Deadline-Ms|X-Api-Key|Token-Counts|Prompt-Prefix|Response-Stamp|Not-Executed|Kv-Source|Expect-Instance|Request-Urgency|Server-Load|Instance-Id|Duty-Holder|Fencing-Token|rows-get|rows-tx|rows-feed|path_prefix|api_keys|kv_token_bytes|CHESTNUTCOVE_BOOT'
+    platform_words='Attempt-Id|Deadline-Ms|X-Api-Key|Token-Counts|Prompt-Prefix|Response-Stamp|Not-Executed|Kv-Source|Expect-Instance|Request-Urgency|Server-Load|Instance-Id|Duty-Holder|Fencing-Token|rows-get|rows-tx|rows-feed|Server-Limit|Server-Leaving|Store-Era|path_prefix|api_keys|kv_token_bytes|CHESTNUTCOVE_BOOT'
     if grep -rnE "$platform_words" src bench; then
         echo "names of the users' platform outside platform/" >&2
         exit 1
