Gateway: log how late the event loop is and where requests wait

New: a timer's lateness as a metric and, from 100 ms on, in the log with the open connections and requests in progress; a count and a line for requests whose caller had left when they were read; the time from reading to the latest send in 'request done'. No decision changes.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -63,6 +63,7 @@
 
 void ForwardedRequest::start()
 {
+    ++context_.requestsInProgress;
     exchange_->onCallerGone([self = shared_from_this()] { self->onCallerLeft(); });
     exchange_->onDrained([weak = weak_from_this()] {
         const auto self = weak.lock();
@@ -267,6 +268,7 @@
     Platform::ForwardingMetadata facts = given;
     facts.timeLeft = timeLeft();
     call_->connection = connection;
+    lastSentAt_ = suspendAwareNow();
     unit_.reset();
     ConnectionCall call;
     call.head = Platform::encodeRequest(exchange_->head(), facts);
@@ -589,9 +591,18 @@
     });
 }
 
+std::string ForwardedRequest::sentAfterText() const
+{
+    if (lastSentAt_ == TimePoint{}) {
+        return "none";
+    }
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(lastSentAt_ - exchange_->arrivedAt()).count());
+}
+
 void ForwardedRequest::finishRequest(std::string_view outcome, int status)
 {
     isDone_ = true;
+    --context_.requestsInProgress;
     deadlineTimer_.cancel();
     if (pendingUnit_) {
         context_.endpoints.cancel(*std::exchange(pendingUnit_, std::nullopt));
@@ -612,6 +623,7 @@
                        {"customer", request_.customer},
                        {"endpoint", lastEndpointId_},
                        {"attempts", std::to_string(attemptPolicy_.attempts())},
+                       {"sentAfterMs", sentAfterText()},
                        {"prefills", std::to_string(prefillCalls_)},
                        {"expectedWaitMs", std::to_string(std::chrono::duration_cast<Milliseconds>(placement_.expectedWait).count())},
                        {"tokensToRead", std::to_string(placement_.uncachedTokens)},
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -87,6 +87,8 @@
     void onDeadline();
     void onCallerLeft();
     void finishRequest(std::string_view outcome, int status);
+    /** Milliseconds from the reading of the request to its latest call, for the log. */
+    std::string sentAfterText() const;
     void releaseHeldPrompt();
     bool isStreaming() const;
     Milliseconds timeLeft() const;
@@ -115,6 +117,8 @@
     bool isWorkRecorded_ = false;
     /** The latest choice of endpoints for this request. */
     Placement placement_;
+    /** When the latest call was written to an endpoint; a default TimePoint before the first one. */
+    TimePoint lastSentAt_{};
     bool hasRunBegun_ = false;
     bool isDone_ = false;
     std::string lastEndpointId_;
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -40,6 +40,7 @@
     double retryRatio = 0;
     /** Retries beyond that ratio, over all gateways. */
     double retryReserve = 0;
+    std::size_t requestsInProgress = 0;
     /** By service. */
     std::map<std::string, RetryBudget> retryBudgets;
 
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -136,8 +136,7 @@
                   quotas_,
                   endpointAdmission_,
                   settings_.retryRatio * RetryBudgetFraction,
-                  settings_.retryReserve * RetryBudgetFraction,
-                  {}}
+                  settings_.retryReserve * RetryBudgetFraction}
     , configurationMirror_(context,
                            table_,
                            log,
@@ -179,6 +178,13 @@
                            }
                        },
                        [this] { directory_.onStoreRestored(suspendAwareNow()); }})
+    , eventLoopMonitor_(
+          context,
+          [this] {
+              return EventLoopMonitor::Load{callerServer_->openConnectionCount(), forwarding_.requestsInProgress};
+          },
+          metrics,
+          log)
 {
 }
 
@@ -217,6 +223,7 @@
     asio::post(ioContext_, [this] {
         log_.info("started", {{"callers", settings_.callerListen->text()}, {"incarnation", std::to_string(incarnation_)}});
     });
+    eventLoopMonitor_.start();
     configurationMirror_.start();
     endpointMirror_.start();
     fleet_.start();
@@ -339,6 +346,10 @@
 void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
 {
     Platform::RequestMetadata facts = Platform::decodeRequest(exchange->head());
+    if (exchange->hasCallerLeft()) {
+        metrics_.counter("requests_read_after_caller_left_total").add();
+        log_.info("request read after its caller had left", {{"request", facts.requestId}});
+    }
     if (!catalogue_) {
         refuseRequest(exchange, facts, Unavailable, "no configuration yet", NotReadyRetryAfter);
         return;
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -9,6 +9,7 @@
 #include "endpointdirectory.h"
 #include "endpointloads.h"
 #include "endpointpool.h"
+#include "eventloopmonitor.h"
 #include "fleetcoordinator.h"
 #include "forwardedrequest.h"
 #include "httpclient.h"
@@ -124,6 +125,7 @@
     ForwardingContext forwarding_;
     TableMirror<PlatformTable> configurationMirror_;
     TableMirror<PlatformTable> endpointMirror_;
+    EventLoopMonitor eventLoopMonitor_;
     std::unique_ptr<CallerServer> callerServer_;
     std::unique_ptr<CallerServer> readinessServer_;
     std::unique_ptr<CallerServer> metricsServer_;
--- a/src/libproxy/bufferedsocket.cpp
+++ b/src/libproxy/bufferedsocket.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace Chestnutcove {
@@ -102,6 +103,17 @@
     awaitReadable();
 }
 
+bool BufferedSocket::isClosedByPeer()
+{
+    if (!open_) {
+        return true;
+    }
+    char byte = 0;
+    const auto size = ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    const bool isPending = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return size == 0 || (size < 0 && !isPending);
+}
+
 void BufferedSocket::write(std::string_view bytes)
 {
     if (!open_ || finishing_) {
--- a/src/libproxy/bufferedsocket.h
+++ b/src/libproxy/bufferedsocket.h
@@ -52,6 +52,11 @@
     /** Closes with a TCP reset, so that the peer can't take a partial message for a complete one. */
     void reset();
     bool isOpen() const;
+    /**
+     * Whether the peer has closed or reset the connection, also if that hasn't been read yet. Unread bytes hide it.
+     * Costs a system call.
+     */
+    bool isClosedByPeer();
     asio::any_io_executor executor();
 
 private:
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -58,6 +58,11 @@
     return headRequest_;
 }
 
+bool CallerConnection::isClosedByCaller() const
+{
+    return socket_->isClosedByPeer();
+}
+
 void CallerConnection::onBytes(std::string_view bytes)
 {
     if (phase_ == Phase::Closing) {
--- a/src/libproxy/callerconnection.h
+++ b/src/libproxy/callerconnection.h
@@ -41,6 +41,7 @@
     /** The response must carry "Connection: close". */
     bool closesAfterResponse() const;
     bool isHeadRequest() const;
+    bool isClosedByCaller() const;
 
 private:
     enum class Phase {
--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -121,6 +121,11 @@
     return connection_ ? connection_->pendingBytes() : 0;
 }
 
+bool CallerExchange::hasCallerLeft() const
+{
+    return !connection_ || connection_->isClosedByCaller();
+}
+
 void CallerExchange::notifyCallerGone()
 {
     if (!open_) {
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -50,6 +50,8 @@
     bool hasBegun() const;
     /** The exchange hasn't ended and the caller is still connected. */
     bool isOpen() const;
+    /** Whether the caller has closed the connection, also if its close hasn't been handled yet. Costs a system call. */
+    bool hasCallerLeft() const;
     std::size_t pendingBytes() const;
 
 private:
