--- a/tests/standins/scriptedendpoint.h
+++ b/tests/standins/scriptedendpoint.h
@@ -9,10 +9,12 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <string>
@@ -31,6 +33,8 @@
 
     std::string response;
     AfterResponse afterResponse = AfterResponse::KeepOpen;
+    /** Time from the request to the response. */
+    std::chrono::milliseconds delay{0};
 };
 
 /** Accepts connections and executes the scripts in order, one for each request. */
@@ -102,7 +106,18 @@
             script = scripts.front();
             scripts.pop_front();
         }
-        asio::write(peer->socket, asio::buffer(script.response));
+        if (script.delay == std::chrono::milliseconds::zero()) {
+            respond(peer, script);
+            return;
+        }
+        const auto timer = std::make_shared<asio::steady_timer>(peer->socket.get_executor(), script.delay);
+        timer->async_wait([this, peer, script, timer](const std::error_code &) { respond(peer, script); });
+    }
+
+    void respond(const std::shared_ptr<Peer> &peer, const Script &script)
+    {
+        std::error_code ignored;
+        asio::write(peer->socket, asio::buffer(script.response), ignored);
         if (script.afterResponse == Script::AfterResponse::Reset) {
             peer->socket.set_option(asio::socket_base::linger(true, 0));
         }
