CallerServer: accept waiting connections together

Ruled out by the new log lines: a late loop as the first cause.

Up to 64 waiting connections are accepted in a turn now. The new test has 100 of them beside other work: 10 turns served 10 before, and all 100 now.

--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -9,10 +9,14 @@
 
 namespace Chestnutcove {
 
+using asio::ip::tcp;
+
 namespace {
 
 /** A caller that doesn't acknowledge sent bytes for this long counts as disconnected. */
 constexpr Milliseconds CallerAckTimeout{5000};
+/** New connections that are accepted before the event loop handles other events. */
+constexpr int MaxAcceptedPerTurn = 64;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -147,7 +151,7 @@
     acceptor_.bind(listen);
     acceptor_.listen();
     acceptor_.non_blocking(true);
-    accept();
+    awaitConnections();
 }
 
 CallerServer::~CallerServer()
@@ -163,22 +167,32 @@
     return acceptor_.local_endpoint().port();
 }
 
-void CallerServer::accept()
+void CallerServer::awaitConnections()
 {
-    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](const std::error_code &error) {
         if (error == asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            auto buffered = std::make_shared<BufferedSocket>(std::move(socket), CallerAckTimeout);
-            auto connection = std::make_shared<CallerConnection>(std::move(buffered), shared_);
-            shared_->connections.insert(connection);
-            connection->start();
-        }
-        accept();
+        acceptWaiting();
+        awaitConnections();
     });
 }
 
+void CallerServer::acceptWaiting()
+{
+    for (int i = 0; i < MaxAcceptedPerTurn; ++i) {
+        std::error_code error;
+        tcp::socket socket = acceptor_.accept(error);
+        if (error) {
+            return;
+        }
+        auto buffered = std::make_shared<BufferedSocket>(std::move(socket), CallerAckTimeout);
+        auto connection = std::make_shared<CallerConnection>(std::move(buffered), shared_);
+        shared_->connections.insert(connection);
+        connection->start();
+    }
+}
+
 void CallerServer::announceClose()
 {
     shared_->closeAfterResponse = true;
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -95,7 +95,8 @@
     friend class CallerConnection;
     struct SharedState;
 
-    void accept();
+    void awaitConnections();
+    void acceptWaiting();
 
     std::shared_ptr<SharedState> shared_;
     asio::ip::tcp::acceptor acceptor_;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -8,12 +8,16 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <memory>
+#include <thread>
+#include <vector>
 
 namespace Chestnutcove {
 
@@ -250,6 +254,32 @@
     EXPECT_FALSE(exchanges_[0]->isOpen());
 }
 
+// Guards against new connections that wait for a turn of the event loop each while the loop has other work.
+TEST_F(CallerServerTest, NewConnectionsArrive_LoopIsBusy_AllAreServedWithinAFewTurns)
+{
+    constexpr std::size_t Connections = 100;
+    std::vector<tcp::socket> callers;
+    for (std::size_t i = 0; i < Connections; ++i) {
+        callers.emplace_back(context_);
+        callers.back().connect(tcp::endpoint(asio::ip::address_v4::loopback(), server_.port()));
+        asio::write(callers.back(), asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+    constexpr int Turns = 10;
+    int turns = 0;
+    std::function<void()> work = [&] {
+        std::this_thread::sleep_for(1ms);
+        if (++turns < Turns) {
+            asio::post(context_, work);
+        }
+    };
+    asio::post(context_, work);
+    context_.restart();
+    while (turns < Turns) {
+        context_.run_one();
+    }
+    EXPECT_EQ(exchanges_.size(), Connections);
+}
+
 TEST_F(CallerServerTest, StreamAborted_Caller_ReceivesNoCompleteResponse)
 {
     send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
