CallerServer: don't pass on a request whose caller has left

A request that waited unread was passed on and sent to an endpoint although its caller had closed the connection long before: the read stops after a short read, so the close behind the request isn't seen until it has been sent on.

The connection is looked at once more when its request is complete; a closed one is dropped and counted. One system call more for each request.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -181,7 +181,8 @@
     , eventLoopMonitor_(
           context,
           [this] {
-              return EventLoopMonitor::Load{callerServer_->openConnectionCount(), forwarding_.requestsInProgress};
+              return EventLoopMonitor::Load{
+                  callerServer_->openConnectionCount(), callerServer_->requestsOfGoneCallers(), forwarding_.requestsInProgress};
           },
           metrics,
           log)
@@ -219,6 +220,7 @@
     } catch (const std::system_error &error) {
         return absl::UnavailableError(std::string("can't listen: ") + error.what());
     }
+    metrics_.gauge("requests_of_gone_callers", [this] { return static_cast<double>(callerServer_->requestsOfGoneCallers()); });
     // Posted, so that the ports, which the program prints after start(), are the first line of its output.
     asio::post(ioContext_, [this] {
         log_.info("started", {{"callers", settings_.callerListen->text()}, {"incarnation", std::to_string(incarnation_)}});
@@ -346,10 +348,6 @@
 void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
 {
     Platform::RequestMetadata facts = Platform::decodeRequest(exchange->head());
-    if (exchange->hasCallerLeft()) {
-        metrics_.counter("requests_read_after_caller_left_total").add();
-        log_.info("request read after its caller had left", {{"request", facts.requestId}});
-    }
     if (!catalogue_) {
         refuseRequest(exchange, facts, Unavailable, "no configuration yet", NotReadyRetryAfter);
         return;
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -129,6 +129,11 @@
 
 void CallerConnection::dispatch()
 {
+    if (socket_->isClosedByPeer()) {
+        ++shared_->requestsOfGoneCallers;
+        closeNow();
+        return;
+    }
     phase_ = Phase::Responding;
     keepAlive_ = parser_.keepsAlive();
     headRequest_ = parser_.request().method == "HEAD";
--- a/src/libproxy/callerconnection.h
+++ b/src/libproxy/callerconnection.h
@@ -19,6 +19,8 @@
     RequestHandler onRequest;
     std::unordered_set<std::shared_ptr<CallerConnection>> connections;
     bool closeAfterResponse = false;
+    /** Requests that weren't passed on, since their callers had left when they were read. */
+    std::uint64_t requestsOfGoneCallers = 0;
 };
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -143,7 +143,7 @@
 }
 
 CallerServer::CallerServer(asio::io_context &context, const asio::ip::tcp::endpoint &listen, LimitsReader limits, RequestHandler onRequest)
-    : shared_(std::make_shared<SharedState>(SharedState{context.get_executor(), std::move(limits), std::move(onRequest), {}, false}))
+    : shared_(std::make_shared<SharedState>(SharedState{context.get_executor(), std::move(limits), std::move(onRequest)}))
     , acceptor_(context)
 {
     acceptor_.open(listen.protocol());
@@ -213,6 +213,11 @@
     acceptor_.close(ignored);
 }
 
+std::uint64_t CallerServer::requestsOfGoneCallers() const
+{
+    return shared_->requestsOfGoneCallers;
+}
+
 std::size_t CallerServer::openConnectionCount() const
 {
     return shared_->connections.size();
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -1,6 +1,7 @@
 /**
  * HTTP/1.1 server for callers. Each request becomes a CallerExchange. A connection handles one request at a time; pipelined requests wait
- * in a bounded buffer and beyond that in the kernel. The server detects when a caller disconnects while its response is pending.
+ * in a bounded buffer and beyond that in the kernel. The server detects when a caller disconnects while its response is pending, and
+ * doesn't pass on the request of a caller that left before it was read.
  */
 #pragma once
 
@@ -88,6 +89,8 @@
     void closeIdleConnections();
     void stopAccepting();
     std::size_t openConnectionCount() const;
+    /** Number of requests that weren't passed on, since their callers had left when they were read. */
+    std::uint64_t requestsOfGoneCallers() const;
     /** Closes connections that exceeded a timeout. Must be called several times a second. */
     void closeExpiredConnections(TimePoint now);
 
--- a/src/libproxy/eventloopmonitor.cpp
+++ b/src/libproxy/eventloopmonitor.cpp
@@ -64,6 +64,7 @@
                  {{"ms", millisecondsText(lateness_)},
                   {"greatestMs", millisecondsText(greatest_)},
                   {"callerConnections", std::to_string(load.callerConnections)},
+                  {"requestsOfGoneCallers", std::to_string(load.requestsOfGoneCallers)},
                   {"requestsInProgress", std::to_string(load.requestsInProgress)}});
     loggedAt_ = now;
     greatest_ = Duration::zero();
--- a/src/libproxy/eventloopmonitor.h
+++ b/src/libproxy/eventloopmonitor.h
@@ -11,6 +11,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 
 namespace Chestnutcove {
@@ -22,6 +23,8 @@
     struct Load
     {
         std::size_t callerConnections = 0;
+        /** Since the start. */
+        std::uint64_t requestsOfGoneCallers = 0;
         std::size_t requestsInProgress = 0;
     };
 
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -254,6 +254,18 @@
     EXPECT_FALSE(exchanges_[0]->isOpen());
 }
 
+// Guards against requests of callers that had left being handed on, since the request is read before the end behind it.
+TEST_F(CallerServerTest, CallerLeavesBeforeItsRequestIsRead_RequestIsNotDispatched)
+{
+    run();
+    asio::write(client_, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    client_.close();
+    context_.restart();
+    context_.run_for(50ms);
+    EXPECT_TRUE(exchanges_.empty());
+    EXPECT_EQ(server_.openConnectionCount(), 0U);
+}
+
 // Guards against new connections that wait for a turn of the event loop each while the loop has other work.
 TEST_F(CallerServerTest, NewConnectionsArrive_LoopIsBusy_AllAreServedWithinAFewTurns)
 {
