ForwardedRequest: look whether the caller has left before each send

A request that its first endpoint had turned away, or whose prompt had been prefilled, was sent on 0.6 s after its caller had left if the gateway was held up meanwhile: the endpoint's answer is handled before the caller's close.

Before each send the caller's connection is looked at, unless that was done less than 50 ms before.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -240,6 +240,13 @@
         if (self->isDone_) {
             return;
         }
+        if (self->exchange_->hasCallerLeft(suspendAwareNow())) {
+            if (connection.ok()) {
+                self->context_.pool.release(endpoint, *connection);
+            }
+            self->onCallerLeft();
+            return;
+        }
         const bool mustNotSend = connection.ok() && self->mustNotSendTo(endpoint);
         if (mustNotSend) {
             self->context_.pool.release(endpoint, *connection);
--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "callerserver.h"
 
 #include "callerconnection.h"
+#include "suspendclock.h"
 
 #include <array>
 #include <charconv>
@@ -17,6 +18,8 @@
 constexpr Milliseconds CallerAckTimeout{5000};
 /** New connections that are accepted before the event loop handles other events. */
 constexpr int MaxAcceptedPerTurn = 64;
+/** Time between two looks, which cost a system call each, at whether a caller has left. */
+constexpr Milliseconds CloseCheckInterval{50};
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -27,6 +30,7 @@
     , head_(std::move(head))
     , body_(std::move(body))
     , arrivedAt_(arrivedAt)
+    , seenOpenAt_(suspendAwareNow())
 {
 }
 
@@ -125,8 +129,12 @@
     return connection_ ? connection_->pendingBytes() : 0;
 }
 
-bool CallerExchange::hasCallerLeft() const
+bool CallerExchange::hasCallerLeft(TimePoint now)
 {
+    if (connection_ && now - seenOpenAt_ < CloseCheckInterval) {
+        return false;
+    }
+    seenOpenAt_ = now;
     return !connection_ || connection_->isClosedByCaller();
 }
 
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -51,8 +51,9 @@
     bool hasBegun() const;
     /** The exchange hasn't ended and the caller is still connected. */
     bool isOpen() const;
-    /** Whether the caller has closed the connection, also if its close hasn't been handled yet. Costs a system call. */
-    bool hasCallerLeft() const;
+    /** Whether the caller has closed the connection, also if its close hasn't been handled yet, but may be unknown for CloseCheckInterval.
+     */
+    bool hasCallerLeft(TimePoint now);
     std::size_t pendingBytes() const;
 
 private:
@@ -63,6 +64,8 @@
     RequestHead head_;
     std::string body_;
     TimePoint arrivedAt_;
+    /** When the connection was last seen open. */
+    TimePoint seenOpenAt_;
     std::function<void()> callerGoneHandler_;
     std::function<void()> drainedHandler_;
     bool begun_ = false;
