Gateway: refuse a part of new requests while the event loop is late

From a lateness of 100 ms on a fraction of new requests, which rises to 0.9 at 400 ms, is refused as not run, before key, quota or placement.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -39,6 +39,8 @@
 /** Keys are accepted only while the last confirmed read is younger than the bound of key revocation minus this margin. */
 constexpr Milliseconds RevocationMargin{700};
 constexpr Milliseconds NotReadyRetryAfter{300};
+/** Callers that a late gateway refuses come back after this many times its lateness. */
+constexpr int CatchUpFactor = 2;
 /** After a stop began, callers may still open connections until the load balancer has noticed that this gateway is not ready. */
 constexpr Milliseconds LoadBalancerDelay{2500};
 /** After a stop began, all requests are accepted for this long; later ones only if they end before the process does. */
@@ -348,6 +350,12 @@
 void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
 {
     Platform::RequestMetadata facts = Platform::decodeRequest(exchange->head());
+    const Duration lateness = eventLoopMonitor_.lateness();
+    if (loadShedder_.mustRefuse(lateness, facts.requestId)) {
+        const auto retryAfter = std::chrono::duration_cast<Milliseconds>(lateness * CatchUpFactor);
+        refuseRequest(exchange, facts, Unavailable, "gateway is late", retryAfter);
+        return;
+    }
     if (!catalogue_) {
         refuseRequest(exchange, facts, Unavailable, "no configuration yet", NotReadyRetryAfter);
         return;
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -14,6 +14,7 @@
 #include "forwardedrequest.h"
 #include "httpclient.h"
 #include "httptable.h"
+#include "loadshedder.h"
 #include "log.h"
 #include "metrics.h"
 #include "placement.h"
@@ -126,6 +127,7 @@
     TableMirror<PlatformTable> configurationMirror_;
     TableMirror<PlatformTable> endpointMirror_;
     EventLoopMonitor eventLoopMonitor_;
+    LoadShedder loadShedder_{LoadShedderOptions{}};
     std::unique_ptr<CallerServer> callerServer_;
     std::unique_ptr<CallerServer> readinessServer_;
     std::unique_ptr<CallerServer> metricsServer_;
