ForwardedRequest: log a digest of each failed request

The logs could not say which requests that ended with a server are repeats of each other: only ids were logged, and each repeat has a new one. The digest is made of path, caller and body; ids, deadlines and other fields stay out, since they differ between repeats.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "eventstream.h"
 #include "rendezvous.h"
+#include "requestdigest.h"
 #include "suspendclock.h"
 #include "text.h"
 
@@ -371,7 +372,15 @@
     }
 }
 
-void ForwardedRequest::logFailure(const OutgoingCall &call, AttemptOutcome outcome) const
+const std::string &ForwardedRequest::digest()
+{
+    if (digest_.empty()) {
+        digest_ = requestDigest(exchange_->head().target, request_.customer, exchange_->body());
+    }
+    return digest_;
+}
+
+void ForwardedRequest::logFailure(const OutgoingCall &call, AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::Succeeded) {
         return;
@@ -380,6 +389,7 @@
     const auto lasted = std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - call.startedAt);
     context_.log.info("call failed",
                       {{"request", request_.facts.requestId},
+                       {"digest", digest()},
                        {"endpoint", call.endpoint.id},
                        {"work", std::string(nameOf(CallWorkNames, call.work))},
                        {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))},
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -63,7 +63,7 @@
     void onHead(const ResponseHead &head);
     void onBody(std::string_view bytes);
     void onCallEnd(CallOutcome end);
-    void logFailure(const OutgoingCall &call, AttemptOutcome outcome) const;
+    void logFailure(const OutgoingCall &call, AttemptOutcome outcome);
     /** Ends the call in progress: records its outcome and returns its connection to the pool. */
     OutgoingCall endCall(AttemptOutcome outcome);
     void onPrefillEnd(const OutgoingCall &call, AttemptOutcome outcome);
@@ -87,6 +87,7 @@
     void onDeadline();
     void onCallerLeft();
     void finishRequest(std::string_view outcome, int status);
+    const std::string &digest();
     /** Milliseconds from the reading of the request to its latest call, for the log. */
     std::string sentAfterText() const;
     void releaseHeldPrompt();
@@ -122,6 +123,8 @@
     bool hasRunBegun_ = false;
     bool isDone_ = false;
     std::string lastEndpointId_;
+    /** Empty until it is needed. */
+    std::string digest_;
     /** Of the last answer that an endpoint gave, for the log: how it was framed, and how many bytes were left when it ended. */
     BodyFraming answerFraming_ = BodyFraming::Length;
     std::size_t unforwardedBytes_ = 0;
