CrashReporter: block a whole request that crashes its servers

What is known of crashes went by the shared parts of prompts; a request without a prompt, or the last part of one, left no evidence, and each repeat had the route's attempts anew.

The digest of path, caller and body is one more key of the same evidence, with its own rows (CrashEvidenceExchange, taken out of CrashReporter): three crashes block it but for one trial a second at one gateway; three rounds, each sent after the one before was known, prove it; then it isn't tried again as long as it comes. Any answer to it, also a failure, clears it. A request that was suspected before isn't sent to a second server by its gateway when the first one breaks off.

--- a/src/chestnutcove/crashreporter.cpp
+++ b/src/chestnutcove/crashreporter.cpp
@@ -12,13 +12,23 @@
 
 /** The connections of an endpoint that ends don't close all at once. */
 constexpr Milliseconds ConfirmationDelay{50};
-constexpr std::string_view RowPrefix = "crashes/";
-/** Crashes at about the same time are reported together, and parts that are answered meanwhile aren't reported. */
-constexpr Milliseconds ReportDelay{400};
+/** Rounds that prove a request guilty. Its repeats come one after the other, so that a sound one may share two crashes with another. */
+constexpr unsigned RequestRoundsToProve = 3;
 
-std::int64_t timeOfDay()
+CrashEvidenceOptions requestOptions()
 {
-    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    CrashEvidenceOptions options;
+    options.roundsToProve = RequestRoundsToProve;
+    // Nothing but another request is the way back, so a guilty one isn't tried again as long as it comes.
+    options.blockTime = std::chrono::hours(24);
+    options.keepsWhileRefused = true;
+    return options;
+}
+
+/** A request as a whole, as the part of a prompt that only its repeats share. */
+std::vector<PromptPart> wholeRequest(const RequestContent &content)
+{
+    return {{content.digest, 0}, {}};
 }
 
 }
@@ -33,17 +43,15 @@
     : ioContext_(context)
     , pool_(pool)
     , log_(log)
-    , row_(table, std::string(RowPrefix) + vm)
-    , evidence_(CrashEvidenceOptions{}, std::move(isTrialGateway))
+    , promptParts_(table, "crashes/", vm, "prompt part", CrashEvidenceOptions{}, isTrialGateway, log)
+    , requests_(table, "crashes-of-requests/", vm, "request", requestOptions(), isTrialGateway, log)
 {
-    metrics.gauge("blocked_prompt_parts", [this] { return static_cast<double>(blockedParts_.size()); });
+    metrics.gauge("blocked_prompt_parts", [this] { return static_cast<double>(promptParts_.blockedCount()); });
+    metrics.gauge("blocked_requests", [this] { return static_cast<double>(requests_.blockedCount()); });
 }
 
-void CrashReporter::onRunBroken(const EndpointRecord &endpoint, const std::vector<PromptPart> &parts, TimePoint sentAt)
+void CrashReporter::onRunBroken(const EndpointRecord &endpoint, const RequestContent &content, TimePoint sentAt)
 {
-    if (evidence_.areAllPartsAnswered(endpoint.service, parts)) {
-        return;
-    }
     const std::string run = endpoint.id + '/' + std::to_string(endpoint.startedAt);
     const auto [it, isNew] = confirmations_.try_emplace(run);
     if (isNew) {
@@ -55,7 +63,7 @@
             }
         });
     }
-    it->second->runs.push_back({parts, sentAt});
+    it->second->runs.push_back({content, sentAt});
 }
 
 void CrashReporter::confirmCrash(const std::string &run)
@@ -81,109 +89,55 @@
     }
     const TimePoint now = suspendAwareNow();
     for (const BrokenRun &broken : confirmation->runs) {
-        evidence_.onCrashed(run, confirmation->endpoint.service, broken.parts, broken.sentAt, now);
+        const RequestContent &content = broken.content;
+        promptParts_.evidence().onCrashed(run, content.service, content.promptParts, broken.sentAt, now);
+        requests_.evidence().onCrashed(run, content.service, wholeRequest(content), broken.sentAt, now);
     }
-    logBlockedParts();
+    promptParts_.logBlocked();
+    requests_.logBlocked();
 }
 
-void CrashReporter::onRunAnswered(const std::string &service, const std::vector<PromptPart> &parts)
+void CrashReporter::onRunAnswered(const RequestContent &content)
 {
-    evidence_.onAnswered(service, parts, suspendAwareNow());
+    const TimePoint now = suspendAwareNow();
+    promptParts_.evidence().onAnswered(content.service, content.promptParts, now);
+    requests_.evidence().onAnswered(content.service, wholeRequest(content), now);
 }
 
-std::optional<Duration> CrashReporter::blockedFor(const std::string &service, const std::vector<PromptPart> &parts)
+void CrashReporter::onRunFailed(const RequestContent &content)
 {
-    return evidence_.blockedFor(service, parts, suspendAwareNow());
+    requests_.evidence().onAnswered(content.service, wholeRequest(content), suspendAwareNow());
 }
 
-void CrashReporter::onTableRead(const TableRows &rows)
+std::optional<Duration> CrashReporter::blockedFor(const RequestContent &content)
 {
-    row_.onTableRead(rows);
-    if (!rows.contains(row_.key())) {
-        storedReport_ = {};
-    }
-    for (const auto &[key, row] : rows) {
-        onRowChanged(key, row.value, row.version);
-    }
+    const TimePoint now = suspendAwareNow();
+    // The request as a whole comes first, so that one that is blocked isn't spent as a trial of its parts.
+    const auto wait = requests_.evidence().blockedFor(content.service, wholeRequest(content), now);
+    return wait ? wait : promptParts_.evidence().blockedFor(content.service, content.promptParts, now);
 }
 
-void CrashReporter::onRowChanged(const std::string &key, const std::string &value, std::uint64_t version)
+bool CrashReporter::isSuspected(const RequestContent &content) const
 {
-    if (!key.starts_with(RowPrefix)) {
-        return;
-    }
-    const auto report = CrashReport::fromText(value);
-    if (!report.ok()) {
-        log_.error("crash report unreadable", {{"row", key}, {"reason", std::string(report.status().message())}});
-        return;
-    }
-    const TimePoint now = suspendAwareNow();
-    const bool isOwn = key == row_.key();
-    if (isOwn) {
-        storedReport_ = *report;
-        row_.onChanged(version);
-    }
-    const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(CrashEvidenceOptions{}.lifetime);
-    const bool isLeftBehind = timeOfDay() - report->writtenAt > lifetime.count();
-    if (isLeftBehind || (isOwn && row_.hasWritten())) {
-        return;
-    }
-    if (isOwn) {
-        evidence_.onOwnReport(*report, now);
-    } else {
-        evidence_.onReport(*report, now);
-    }
-    logBlockedParts();
+    return requests_.evidence().isSuspected(content.service, wholeRequest(content));
 }
 
-void CrashReporter::logBlockedParts()
+void CrashReporter::onTableRead(const TableRows &rows)
 {
-    std::set<std::string> blocked;
-    for (const std::string &key : evidence_.blockedParts(suspendAwareNow())) {
-        if (!blockedParts_.contains(key)) {
-            log_.warning("prompt part blocked, since it crashes endpoints", {{"part", key}});
-        }
-        blocked.insert(key);
-    }
-    for (const std::string &key : blockedParts_) {
-        if (!blocked.contains(key)) {
-            log_.info("prompt part is no longer blocked", {{"part", key}});
-        }
-    }
-    blockedParts_ = std::move(blocked);
+    promptParts_.onTableRead(rows);
+    requests_.onTableRead(rows);
 }
 
-void CrashReporter::tick(TimePoint now)
+void CrashReporter::onRowChanged(const std::string &key, const std::string &value, std::uint64_t version)
 {
-    evidence_.expire(now);
-    logBlockedParts();
-    const CrashReport report = evidence_.report();
-    if (report.hasSameContent(storedReport_)) {
-        changedSince_.reset();
-        return;
-    }
-    if (!changedSince_) {
-        changedSince_ = now;
-    }
-    // Other gateways are about to block a part that this one knows to be sound.
-    const bool isUrgent
-        = !std::includes(storedReport_.cleared.begin(), storedReport_.cleared.end(), report.cleared.begin(), report.cleared.end());
-    if (isUrgent || now - *changedSince_ >= ReportDelay) {
-        writeReport(report);
-    }
+    promptParts_.onRowChanged(key, value, version);
+    requests_.onRowChanged(key, value, version);
 }
 
-void CrashReporter::writeReport(const CrashReport &report)
+void CrashReporter::tick(TimePoint now)
 {
-    const auto onDone = [this, parts = report.crashes.size(), cleared = report.cleared.size()](bool isCommitted) {
-        log_.info("crash report written",
-                  {{"suspected", std::to_string(parts)},
-                   {"cleared", std::to_string(cleared)},
-                   {"committed", isCommitted ? "yes" : "not for certain"}});
-    };
-    if (row_.write(report.toText(timeOfDay()), onDone)) {
-        changedSince_.reset();
-    }
+    promptParts_.tick(now);
+    requests_.tick(now);
 }
 
 }
--- a/src/chestnutcove/crashreporter.h
+++ b/src/chestnutcove/crashreporter.h
@@ -1,15 +1,14 @@
 /**
- * Watches for prompts that crash endpoints: confirms that an endpoint whose run broke off has ended, records what its prompts had in
- * common, and exchanges that with the other gateways through the shared table.
+ * Watches for requests that crash endpoints: confirms that an endpoint whose run broke off has ended, and records what its requests had:
+ * the parts of their prompts, and each request as a whole, which its caller may repeat.
  */
 #pragma once
 
-#include "crashevidence.h"
+#include "crashevidenceexchange.h"
 #include "endpointpool.h"
 #include "endpointrecord.h"
 #include "log.h"
 #include "metrics.h"
-#include "ownrow.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -18,12 +17,20 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace Chestnutcove {
 
+/** What a request has that may crash an endpoint. */
+struct RequestContent
+{
+    std::string service;
+    std::vector<PromptPart> promptParts;
+    /** See requestDigest(). */
+    std::string digest;
+};
+
 class CrashReporter
 {
 public:
@@ -37,10 +44,14 @@
                   const Log &log);
 
     /** A run ended without an answer, or with one that had not begun. @param sentAt when the call was started. */
-    void onRunBroken(const EndpointRecord &endpoint, const std::vector<PromptPart> &parts, TimePoint sentAt);
-    void onRunAnswered(const std::string &service, const std::vector<PromptPart> &parts);
-    /** For how long requests with the prompt are refused, because a part of it crashes endpoints; nothing if they may be sent. */
-    std::optional<Duration> blockedFor(const std::string &service, const std::vector<PromptPart> &parts);
+    void onRunBroken(const EndpointRecord &endpoint, const RequestContent &content, TimePoint sentAt);
+    void onRunAnswered(const RequestContent &content);
+    /** The endpoint answered with a failure: it has run the request and goes on. */
+    void onRunFailed(const RequestContent &content);
+    /** For how long such requests are refused, because they crash endpoints; nothing if this one may be sent. */
+    std::optional<Duration> blockedFor(const RequestContent &content);
+    /** Whether an endpoint crashed under the request before, and none has answered it. */
+    bool isSuspected(const RequestContent &content) const;
 
     /** All rows of the table were read. */
     void onTableRead(const TableRows &rows);
@@ -52,7 +63,7 @@
 private:
     struct BrokenRun
     {
-        std::vector<PromptPart> parts;
+        RequestContent content;
         TimePoint sentAt;
     };
     struct Confirmation
@@ -64,21 +75,14 @@
 
     void confirmCrash(const std::string &run);
     void onConfirmed(const std::string &run, bool hasCrashed);
-    void writeReport(const CrashReport &report);
-    void logBlockedParts();
 
     asio::io_context &ioContext_;
     EndpointPool &pool_;
     const Log &log_;
-    OwnRow row_;
-    CrashEvidence evidence_;
+    CrashEvidenceExchange promptParts_;
+    CrashEvidenceExchange requests_;
     /** By run of an endpoint. */
     std::map<std::string, std::unique_ptr<Confirmation>> confirmations_;
-    std::set<std::string> blockedParts_;
-    /** What this gateway's row holds. */
-    CrashReport storedReport_;
-    /** Since when the report differs from the stored one. */
-    std::optional<TimePoint> changedSince_;
 };
 
 }
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -2,7 +2,6 @@
 
 #include "eventstream.h"
 #include "rendezvous.h"
-#include "requestdigest.h"
 #include "suspendclock.h"
 #include "text.h"
 
@@ -34,6 +33,11 @@
 /** Maximum number of runs with one held prompt. Then it is prefilled again, since its KV cache may be gone from the prefill engine. */
 constexpr unsigned MaxHeldPromptRuns = 2;
 
+bool isBrokenOff(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NoAnswer || outcome == AttemptOutcome::Broken;
+}
+
 /** Whether the response states no other content type than that of an event stream. */
 bool mayBeEventStream(const ResponseHead &head)
 {
@@ -372,15 +376,7 @@
     }
 }
 
-const std::string &ForwardedRequest::digest()
-{
-    if (digest_.empty()) {
-        digest_ = requestDigest(exchange_->head().target, request_.customer, exchange_->body());
-    }
-    return digest_;
-}
-
-void ForwardedRequest::logFailure(const OutgoingCall &call, AttemptOutcome outcome)
+void ForwardedRequest::logFailure(const OutgoingCall &call, AttemptOutcome outcome) const
 {
     if (outcome == AttemptOutcome::Succeeded) {
         return;
@@ -389,7 +385,7 @@
     const auto lasted = std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - call.startedAt);
     context_.log.info("call failed",
                       {{"request", request_.facts.requestId},
-                       {"digest", digest()},
+                       {"digest", request_.content.digest},
                        {"endpoint", call.endpoint.id},
                        {"work", std::string(nameOf(CallWorkNames, call.work))},
                        {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))},
@@ -468,19 +464,23 @@
         // The endpoint has fetched the KV cache of the held prompt, or may have.
         heldPrompt_.reset();
     }
+    const bool mayCrashAnother = isBrokenOff(outcome) && context_.fleet.crashReporter().isSuspected(request_.content);
+    if (step == NextStep::Retry && mayCrashAnother) {
+        endWithoutEndpointAnswer();
+        return;
+    }
     performStep(step, call);
 }
 
 void ForwardedRequest::reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome)
 {
-    if (request_.facts.promptParts.empty()) {
-        return;
-    }
-    const bool isBroken = outcome == AttemptOutcome::NoAnswer || outcome == AttemptOutcome::Broken;
+    CrashReporter &reporter = context_.fleet.crashReporter();
     if (outcome == AttemptOutcome::Succeeded) {
-        context_.fleet.crashReporter().onRunAnswered(request_.service->name, request_.facts.promptParts);
-    } else if (isBroken && !exchange_->hasBegun()) {
-        context_.fleet.crashReporter().onRunBroken(call.endpoint, request_.facts.promptParts, call.startedAt);
+        reporter.onRunAnswered(request_.content);
+    } else if (outcome == AttemptOutcome::Failed) {
+        reporter.onRunFailed(request_.content);
+    } else if (isBrokenOff(outcome) && !exchange_->hasBegun()) {
+        reporter.onRunBroken(call.endpoint, request_.content, call.startedAt);
     }
 }
 
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -31,6 +31,7 @@
     std::shared_ptr<const RouteCatalogue> catalogue;
     const Route *route = nullptr;
     const RoutedService *service = nullptr;
+    RequestContent content;
     /** Empty where the route needs no key. */
     std::string customer;
     /** What it took of the customer's quota; refunded if the request did not run. */
@@ -63,7 +64,7 @@
     void onHead(const ResponseHead &head);
     void onBody(std::string_view bytes);
     void onCallEnd(CallOutcome end);
-    void logFailure(const OutgoingCall &call, AttemptOutcome outcome);
+    void logFailure(const OutgoingCall &call, AttemptOutcome outcome) const;
     /** Ends the call in progress: records its outcome and returns its connection to the pool. */
     OutgoingCall endCall(AttemptOutcome outcome);
     void onPrefillEnd(const OutgoingCall &call, AttemptOutcome outcome);
@@ -87,7 +88,6 @@
     void onDeadline();
     void onCallerLeft();
     void finishRequest(std::string_view outcome, int status);
-    const std::string &digest();
     /** Milliseconds from the reading of the request to its latest call, for the log. */
     std::string sentAfterText() const;
     void releaseHeldPrompt();
@@ -123,8 +123,6 @@
     bool hasRunBegun_ = false;
     bool isDone_ = false;
     std::string lastEndpointId_;
-    /** Empty until it is needed. */
-    std::string digest_;
     /** Of the last answer that an endpoint gave, for the log: how it was framed, and how many bytes were left when it ended. */
     BodyFraming answerFraming_ = BodyFraming::Length;
     std::size_t unforwardedBytes_ = 0;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -1,6 +1,7 @@
 #include "platformgateway.h"
 
 #include "rendezvous.h"
+#include "requestdigest.h"
 #include "rowdecoder.h"
 #include "storeversion.h"
 #include "suspendclock.h"
@@ -401,28 +402,26 @@
             return;
         }
         request.customer = customer->name;
-        if (refuseCrashingPrompt(exchange, request)) {
+        if (refuseCrashingRequest(exchange, request)) {
             return;
         }
         if (customer->rate > 0) {
             spendQuota(exchange, std::move(request), *customer);
             return;
         }
-    } else if (refuseCrashingPrompt(exchange, request)) {
+    } else if (refuseCrashingRequest(exchange, request)) {
         return;
     }
     forwardRequest(exchange, std::move(request));
 }
 
-bool PlatformGateway::refuseCrashingPrompt(const std::shared_ptr<CallerExchange> &exchange, const AdmittedRequest &request)
+bool PlatformGateway::refuseCrashingRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request)
 {
-    const auto wait = fleet_.crashReporter().blockedFor(request.service->name, request.facts.promptParts);
+    request.content
+        = {request.service->name, request.facts.promptParts, requestDigest(exchange->head().target, request.customer, exchange->body())};
+    const auto wait = fleet_.crashReporter().blockedFor(request.content);
     if (wait) {
-        refuseRequest(exchange,
-                      request.facts,
-                      Unavailable,
-                      "a part of its prompt crashes endpoints",
-                      std::chrono::duration_cast<Milliseconds>(*wait));
+        refuseRequest(exchange, request.facts, Unavailable, "crashes endpoints", std::chrono::duration_cast<Milliseconds>(*wait));
     }
     return wait.has_value();
 }
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -89,8 +89,8 @@
                         const CustomerQuota &customer,
                         double units,
                         const QuotaVerdict &verdict);
-    /** Refuses the request if a part of its prompt is known to crash endpoints. @return whether it did. */
-    bool refuseCrashingPrompt(const std::shared_ptr<CallerExchange> &exchange, const AdmittedRequest &request);
+    /** Refuses the request if it, or a part of its prompt, is known to crash endpoints. @return whether it did. */
+    bool refuseCrashingRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request);
     void forwardRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request);
     /** Chooses one of the route's services by weight. The choice is determined by the request id and the route's name. */
     const RoutedService *chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const;
--- a/src/libserving/crashevidence.cpp
+++ b/src/libserving/crashevidence.cpp
@@ -53,11 +53,9 @@
     return service + ' ' + part.id;
 }
 
-bool CrashEvidence::areAllPartsAnswered(const std::string &service, const std::vector<PromptPart> &parts) const
+bool CrashEvidence::isSuspected(const std::string &service, const std::vector<PromptPart> &parts) const
 {
-    bool areAnswered = true;
-    forEachSharedPart(parts, [&](const PromptPart &part) { areAnswered = areAnswered && answered_.contains(keyOf(service, part)); });
-    return areAnswered;
+    return !suspicions_.empty() && suspectCount(service, parts) > 0;
 }
 
 void CrashEvidence::onAnswered(const std::string &service, const std::vector<PromptPart> &parts, TimePoint now)
@@ -184,6 +182,7 @@
             suspicion.lastTrialAt = now;
             return;
         }
+        suspicion.lastRefusedAt = now;
         longest = std::max(longest.value_or(options_.suspectTrialInterval), nextTrialAt(suspicion) - now);
     });
     return longest;
@@ -227,7 +226,11 @@
 
 void CrashEvidence::expire(TimePoint now)
 {
-    std::erase_if(suspicions_, [&](const auto &item) { return now - item.second.lastCrashAt >= options_.lifetime; });
+    std::erase_if(suspicions_, [&](const auto &item) {
+        const Suspicion &suspicion = item.second;
+        const bool isRefused = options_.keepsWhileRefused && now - suspicion.lastRefusedAt < options_.lifetime;
+        return now - suspicion.lastCrashAt >= options_.lifetime && !isRefused;
+    });
 }
 
 void CrashEvidence::limitSuspicions()
--- a/src/libserving/crashevidence.h
+++ b/src/libserving/crashevidence.h
@@ -1,5 +1,6 @@
 /**
- * Finds the prompt part that crashes endpoints ("query of death") and blocks requests that have it.
+ * Finds the prompt part that crashes endpoints ("query of death") and blocks requests that have it. A whole request that its caller repeats
+ * is treated as a part that only its repeats share.
  *
  * The last part of a prompt belongs to its request alone; the others are shared. When an endpoint crashes, the shared parts of requests
  * that it had not begun to answer are suspected. Sound parts are cleared by completed answers, so the part that stays suspected over
@@ -45,6 +46,8 @@
     Duration answerGeneration = std::chrono::minutes(10);
     std::size_t maxAnsweredParts = 16384;
     std::size_t maxSuspectedParts = 512;
+    /** A part is kept for as long as requests with it are refused. */
+    bool keepsWhileRefused = false;
     /** Bounds the size of a report. */
     std::size_t maxReportedParts = 48;
 };
@@ -72,8 +75,8 @@
     /** @param isTrialGateway whether this is the gateway that may try a blocked part, given its key. */
     CrashEvidence(CrashEvidenceOptions options, std::function<bool(const std::string &key)> isTrialGateway);
 
-    /** Whether all shared parts of the prompt are known from answers, so that a crash tells nothing. */
-    bool areAllPartsAnswered(const std::string &service, const std::vector<PromptPart> &parts) const;
+    /** Whether a shared part of the prompt was in a request under which an endpoint crashed, and in none that was answered. */
+    bool isSuspected(const std::string &service, const std::vector<PromptPart> &parts) const;
     /** An answer to the prompt was completed. */
     void onAnswered(const std::string &service, const std::vector<PromptPart> &parts, TimePoint now);
     /** A run of an endpoint crashed before it began to answer the prompt, which was sent at @p sentAt. */
@@ -101,6 +104,7 @@
         unsigned round = 0;
         TimePoint roundLearnedAt{};
         TimePoint lastCrashAt{};
+        TimePoint lastRefusedAt{};
         /** Since when the crashes suffice to block the part. */
         std::optional<TimePoint> sufficientSince;
         TimePoint lastTrialAt{};
