--- a/src/chestnutcove/crashevidenceexchange.cpp
+++ b/src/chestnutcove/crashevidenceexchange.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** Crashes at about the same time are reported together, and parts that are answered meanwhile aren't reported. */
-constexpr Milliseconds ReportDelay{400};
-
 std::int64_t timeOfDay()
 {
     return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -25,11 +22,13 @@
                                              const std::string &vm,
                                              std::string subject,
                                              CrashEvidenceOptions options,
+                                             Milliseconds reportDelay,
                                              std::function<bool(const std::string &key)> isTrialGateway,
                                              const Log &log)
     : rowPrefix_(rowPrefix)
     , subject_(std::move(subject))
     , options_(options)
+    , reportDelay_(reportDelay)
     , log_(log)
     , row_(table, rowPrefix + vm)
     , evidence_(options, std::move(isTrialGateway))
@@ -108,7 +107,7 @@
     // Other gateways are about to block what this one knows to be sound.
     const bool isUrgent
         = !std::includes(storedReport_.cleared.begin(), storedReport_.cleared.end(), report.cleared.begin(), report.cleared.end());
-    if (isUrgent || now - *changedSince_ >= ReportDelay) {
+    if (isUrgent || now - *changedSince_ >= reportDelay_) {
         writeReport(report);
     }
 }
--- a/src/chestnutcove/crashevidenceexchange.h
+++ b/src/chestnutcove/crashevidenceexchange.h
@@ -20,14 +20,15 @@
 {
 public:
     /**
-     * @param table holds the reports of all gateways. @param rowPrefix of the keys of this kind's rows. @param subject what is blocked, for
-     * the log. @param isTrialGateway see CrashEvidence.
+     * @param reportDelay crashes within this time are reported together. @param table holds the reports of all gateways. @param rowPrefix
+     * of the keys of this kind's rows. @param subject what is blocked, for the log. @param isTrialGateway see CrashEvidence.
      */
     CrashEvidenceExchange(PlatformTable &table,
                           const std::string &rowPrefix,
                           const std::string &vm,
                           std::string subject,
                           CrashEvidenceOptions options,
+                          Milliseconds reportDelay,
                           std::function<bool(const std::string &key)> isTrialGateway,
                           const Log &log);
 
@@ -50,6 +51,7 @@
     std::string rowPrefix_;
     std::string subject_;
     CrashEvidenceOptions options_;
+    Milliseconds reportDelay_;
     const Log &log_;
     OwnRow row_;
     CrashEvidence evidence_;
--- a/src/chestnutcove/crashreporter.cpp
+++ b/src/chestnutcove/crashreporter.cpp
@@ -12,19 +12,10 @@
 
 /** The connections of an endpoint that ends don't close all at once. */
 constexpr Milliseconds ConfirmationDelay{50};
-/** Rounds that prove a request guilty. Its repeats come one after the other, so that a sound one may share two crashes with another. */
-constexpr unsigned RequestRoundsToProve = 3;
-
-CrashEvidenceOptions requestOptions()
-{
-    CrashEvidenceOptions options;
-    options.roundsToProve = RequestRoundsToProve;
-    // Nothing but another request is the way back, so a guilty one isn't tried again as long as it comes.
-    options.blockTime = std::chrono::hours(24);
-    options.keepsWhileRefused = true;
-    return options;
-}
-
+/** Crashes at about the same time are reported together, and parts that are answered meanwhile aren't reported. */
+constexpr Milliseconds PartReportDelay{400};
+/** Few servers may crash under one request, so that a report must not be lost with its gateway. */
+constexpr Milliseconds RequestReportDelay{100};
 /** A request as a whole, as the part of a prompt that only its repeats share. */
 std::vector<PromptPart> wholeRequest(const RequestContent &content)
 {
@@ -43,8 +34,9 @@
     : ioContext_(context)
     , pool_(pool)
     , log_(log)
-    , promptParts_(table, "crashes/", vm, "prompt part", CrashEvidenceOptions{}, isTrialGateway, log)
-    , requests_(table, "crashes-of-requests/", vm, "request", requestOptions(), isTrialGateway, log)
+    , promptParts_(table, "crashes/", vm, "prompt part", CrashEvidenceOptions{}, PartReportDelay, isTrialGateway, log)
+    , requests_(
+          table, "crashes-of-requests/", vm, "request", CrashEvidenceOptions::forWholeRequests(), RequestReportDelay, isTrialGateway, log)
 {
     metrics.gauge("blocked_prompt_parts", [this] { return static_cast<double>(promptParts_.blockedCount()); });
     metrics.gauge("blocked_requests", [this] { return static_cast<double>(requests_.blockedCount()); });
--- a/src/libserving/crashevidence.cpp
+++ b/src/libserving/crashevidence.cpp
@@ -20,6 +20,16 @@
 
 }
 
+CrashEvidenceOptions CrashEvidenceOptions::forWholeRequests()
+{
+    constexpr unsigned RoundsToProve = 3;
+    CrashEvidenceOptions options;
+    options.roundsToProve = RoundsToProve;
+    options.blockTime = std::chrono::hours(24);
+    options.keepsWhileRefused = true;
+    return options;
+}
+
 AnsweredParts::AnsweredParts(std::size_t maxParts, Duration generation)
     : maxParts_(maxParts)
     , generation_(generation)
--- a/src/libserving/crashevidence.h
+++ b/src/libserving/crashevidence.h
@@ -50,6 +50,12 @@
     bool keepsWhileRefused = false;
     /** Bounds the size of a report. */
     std::size_t maxReportedParts = 48;
+
+    /**
+     * Its repeats come one after the other, so that a sound request may share two crashes with another one; a third round proves it. No
+     * new version of what is requested is a way back, so a guilty request isn't tried again as long as it comes.
+     */
+    static CrashEvidenceOptions forWholeRequests();
 };
 
 /** Parts that were answered lately, in two generations, so that memory is bounded. */
