Rows of the store: a field of another type doesn't end the process

It can happen here: nlohmann's value() throws if the field has another type than the fallback, and nothing catches it in the event loop. A lease row with a number as its holder, or a usage row with a text as a figure, ended each gateway that read it, and each new run of it.

--- a/src/chestnutcove/endpointadapter.cpp
+++ b/src/chestnutcove/endpointadapter.cpp
@@ -1,5 +1,6 @@
 #include "endpointadapter.h"
 
+#include "jsonfield.h"
 #include "sseparser.h"
 
 #include <absl/strings/numbers.h>
@@ -192,7 +193,7 @@
         CacheReport report;
         report.firstEvent = json->value("first", std::uint64_t{0});
         for (const auto &event : json->value("events", nlohmann::json::array())) {
-            report.events.push_back({event.value("kind", "") == "stored", parseBlockHash(event.value("block", nlohmann::json()))});
+            report.events.push_back({fieldOr(event, "kind", "") == "stored", parseBlockHash(event.value("block", nlohmann::json()))});
         }
         onReport(std::move(report));
     });
--- a/src/chestnutcove/endpointorders.cpp
+++ b/src/chestnutcove/endpointorders.cpp
@@ -1,5 +1,6 @@
 #include "endpointorders.h"
 
+#include "jsonfield.h"
 #include "suspendclock.h"
 
 #include <absl/strings/str_format.h>
@@ -104,7 +105,7 @@
     }
     isCallPending_ = true;
     HttpCall call;
-    call.url = settings_.platformUrl + "/v1/endpoint-orders?token=" + intent.value("token", "");
+    call.url = settings_.platformUrl + "/v1/endpoint-orders?token=" + fieldOr(intent, "token", "");
     call.timeout = settings_.platformTimeout;
     httpClient_.send(std::move(call), [this, key, row, intent](const HttpResult &result) {
         isCallPending_ = false;
@@ -114,7 +115,7 @@
             return;
         }
         for (const auto &order : json["orders"]) {
-            if (order.value("token", "") == intent.value("token", "")) {
+            if (fieldOr(order, "token", "") == fieldOr(intent, "token", "")) {
                 deleteIntent(key, row);
                 return;
             }
--- a/src/chestnutcove/fleetduty.cpp
+++ b/src/chestnutcove/fleetduty.cpp
@@ -77,7 +77,9 @@
         const auto json = it == rows->end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
         if (json.is_object() && json.contains("roles")) {
             for (const auto &[endpoint, role] : json["roles"].items()) {
-                wantedRoles_[endpoint] = role.get<std::string>();
+                if (role.is_string()) {
+                    wantedRoles_[endpoint] = role.get<std::string>();
+                }
             }
         }
         planEpoch_ = epoch;
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "jsonfield.h"
 #include "operatorapi.h"
 #include "suspendclock.h"
 
@@ -302,7 +303,7 @@
     const auto head = rows->find(catalogueHeadKey());
     if (head != rows->end()) {
         const auto json = nlohmann::json::parse(head->second.value, nullptr, false);
-        versions.catalogueVersion = json.is_object() ? json.value("version", std::uint64_t{0}) : 0;
+        versions.catalogueVersion = json.is_object() ? fieldOr(json, "version", std::uint64_t{0}) : 0;
     }
     versions.membershipEpoch = membershipKeeper_.row().epoch;
     storeFreshness_.onReadSucceeded(startedAt, versions);
--- a/src/chestnutcove/usagereporter.h
+++ b/src/chestnutcove/usagereporter.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "dutylease.h"
+#include "jsonfield.h"
 #include "jsonusagesink.h"
 #include "metrics.h"
 #include "sealschedule.h"
@@ -275,8 +276,9 @@
 WindowNumber BasicUsageReporter<Table, Sink>::lastReportedBy(const nlohmann::json &progress) const
 {
     const bool isKnown = progress.is_object();
-    const WindowNumber stored = isKnown ? progress.value("reported", WindowNumber{0}) : currentWindow() - UsageRows::InitialLookBackWindows;
-    const bool isOfThisEra = isKnown && progress.value("era", std::uint64_t{0}) == era_;
+    const WindowNumber stored
+        = isKnown ? fieldOr(progress, "reported", WindowNumber{0}) : currentWindow() - UsageRows::InitialLookBackWindows;
+    const bool isOfThisEra = isKnown && fieldOr(progress, "era", std::uint64_t{0}) == era_;
     if (!isInLaterEra() || isOfThisEra) {
         return stored;
     }
@@ -481,7 +483,7 @@
     const std::uint64_t epoch = lease_.keeper().epoch();
     const auto it = rows.find(UsageRows::intentKey(window));
     const auto json = it == rows.end() ? nlohmann::json() : nlohmann::json::parse(it->second.value, nullptr, false);
-    const std::uint64_t intentEpoch = json.is_object() ? json.value("epoch", std::uint64_t{0}) : 0;
+    const std::uint64_t intentEpoch = json.is_object() ? fieldOr(json, "epoch", std::uint64_t{0}) : 0;
     if (intentEpoch > epoch) {
         state_ = State::Idle;
         return;
--- a/src/libauthority/leasekeeper.cpp
+++ b/src/libauthority/leasekeeper.cpp
@@ -1,5 +1,6 @@
 #include "leasekeeper.h"
 
+#include "jsonfield.h"
 #include "storeversion.h"
 
 #include <nlohmann/json.hpp>
@@ -33,10 +34,10 @@
     if (!json.is_object() || !json.contains("epoch") || !json["epoch"].is_number_unsigned()) {
         return absl::DataLossError("unreadable lease row");
     }
-    return LeaseRow{json.value("holder", ""),
-                    json.value("incarnation", std::uint64_t{0}),
+    return LeaseRow{fieldOr(json, "holder", ""),
+                    fieldOr(json, "incarnation", std::uint64_t{0}),
                     json["epoch"].get<std::uint64_t>(),
-                    json.value("beat", std::uint64_t{0})};
+                    fieldOr(json, "beat", std::uint64_t{0})};
 }
 
 LeaseKeeper::LeaseKeeper(std::string holder, std::uint64_t incarnation, LeaseOptions options)
--- a/src/libcatalogue/catalogue.cpp
+++ b/src/libcatalogue/catalogue.cpp
@@ -1,5 +1,7 @@
 #include "catalogue.h"
 
+#include "jsonfield.h"
+
 #include <utility>
 
 namespace Chestnutcove {
@@ -44,15 +46,15 @@
     if (!json.is_object() || !json.contains("version") || !json["version"].is_number_unsigned() || !json.contains("document")) {
         return unreadableDataError("change");
     }
-    const auto kind = valueOf(EntryKindNames, json.value("kind", ""));
+    const auto kind = valueOf(EntryKindNames, fieldOr(json, "kind", ""));
     if (!kind) {
         return unreadableDataError("kind of change");
     }
     CatalogueChange change;
     change.version = json["version"].get<std::uint64_t>();
     change.kind = *kind;
-    change.name = json.value("name", "");
-    change.attempt = json.value("attempt", "");
+    change.name = fieldOr(json, "name", "");
+    change.attempt = fieldOr(json, "attempt", "");
     if (!json["document"].is_null()) {
         auto entry = entryFromJson(*kind, change.name, json["document"]);
         if (!entry.ok()) {
@@ -183,12 +185,12 @@
     Catalogue result;
     result.version_ = json["version"].get<std::uint64_t>();
     for (const auto &item : json["entries"]) {
-        const auto kind = valueOf(EntryKindNames, item.value("kind", ""));
-        const std::string name = item.value("name", "");
+        const auto kind = valueOf(EntryKindNames, fieldOr(item, "kind", ""));
+        const std::string name = fieldOr(item, "name", "");
         if (!kind || !item.contains("document")) {
             return unreadableDataError("entry of a snapshot");
         }
-        result.entryVersions_[entryPath(*kind, name)] = item.value("version", std::uint64_t{0});
+        result.entryVersions_[entryPath(*kind, name)] = fieldOr(item, "version", std::uint64_t{0});
         if (item["document"].is_null()) {
             continue;
         }
--- a/src/libdelivery/answerassembler.cpp
+++ b/src/libdelivery/answerassembler.cpp
@@ -1,5 +1,7 @@
 #include "answerassembler.h"
 
+#include "jsonfield.h"
+
 #include <algorithm>
 
 namespace Chestnutcove {
@@ -37,7 +39,7 @@
         return;
     }
     for (const auto &item : json) {
-        Choice &choice = choices_[item.value("index", 0)];
+        Choice &choice = choices_[fieldOr(item, "index", 0)];
         if (item.contains("finish_reason") && !item["finish_reason"].is_null()) {
             choice.finishReason = item["finish_reason"];
         }
@@ -60,7 +62,7 @@
 void AnswerAssembler::addToolCalls(Choice &choice, const nlohmann::json &calls)
 {
     for (const auto &call : calls) {
-        nlohmann::json &target = choice.toolCalls[call.value("index", 0)];
+        nlohmann::json &target = choice.toolCalls[fieldOr(call, "index", 0)];
         for (const char *key : {"id", "type"}) {
             if (call.contains(key)) {
                 target[key] = call[key];
--- a/src/libplatform/vmlist.cpp
+++ b/src/libplatform/vmlist.cpp
@@ -1,5 +1,7 @@
 #include "vmlist.h"
 
+#include "jsonfield.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -25,7 +27,7 @@
         }
         std::map<std::string, VmState> vms;
         for (const auto &vm : json["vms"]) {
-            vms[vm.value("name", "")] = vm.value("state", "") == "leaving" ? VmState::Leaving : VmState::Live;
+            vms[fieldOr(vm, "name", "")] = fieldOr(vm, "state", "") == "leaving" ? VmState::Leaving : VmState::Live;
         }
         onList(std::move(vms));
     });
--- a/src/libserving/gatewaystatus.cpp
+++ b/src/libserving/gatewaystatus.cpp
@@ -1,5 +1,7 @@
 #include "gatewaystatus.h"
 
+#include "jsonfield.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -19,7 +21,7 @@
 
 EngineWork workOf(const nlohmann::json &json)
 {
-    return {json.value("read", 0.0), json.value("moved", 0.0), json.value("whole", 0.0), json.value("busySlots", 0.0)};
+    return {fieldOr(json, "read", 0.0), fieldOr(json, "moved", 0.0), fieldOr(json, "whole", 0.0), fieldOr(json, "busySlots", 0.0)};
 }
 
 }
--- a/src/libusage/usageledger.cpp
+++ b/src/libusage/usageledger.cpp
@@ -1,5 +1,7 @@
 #include "usageledger.h"
 
+#include "jsonfield.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -43,9 +45,9 @@
         if (!figures.is_object()) {
             return absl::DataLossError("the usage row has no object for customer " + customer);
         }
-        usage[customer] = {figures.value("requests", std::uint64_t{0}),
-                           figures.value("promptTokens", std::uint64_t{0}),
-                           figures.value("outputTokens", std::uint64_t{0})};
+        usage[customer] = {fieldOr(figures, "requests", std::uint64_t{0}),
+                           fieldOr(figures, "promptTokens", std::uint64_t{0}),
+                           fieldOr(figures, "outputTokens", std::uint64_t{0})};
     }
     return usage;
 }
