LinkClient: an address that can't be connected doesn't end the process

Such a link is like one whose peer doesn't listen: its messages are rejected, and the asks of quotas go on to the next holder.

--- a/src/libtransport/link.cpp
+++ b/src/libtransport/link.cpp
@@ -368,11 +368,20 @@
         socket_->set(zmq::sockopt::curve_serverkey, serverKey_);
         socket_->set(zmq::sockopt::curve_publickey, context_.keys().publicKey);
         socket_->set(zmq::sockopt::curve_secretkey, context_.keys().secretKey);
-        socket_->connect("tcp://" + address_);
+        connectSocket();
         watcher_ = std::make_shared<SocketWatcher>(context_.context(), *socket_, [this] { receiveMessage(); });
         watcher_->start();
     }
 
+    void connectSocket()
+    {
+        try {
+            socket_->connect("tcp://" + address_);
+        } catch (const zmq::error_t &) {
+            // An address that is none is like one where nobody listens: messages are rejected.
+        }
+    }
+
     void receiveMessage()
     {
         zmq::message_t data;
