Row decoders: odd addresses and numbers name no endpoint

Numbers beyond their type were converted as they stood, which is undefined: a time of 1e300 ms gave the greatest one there is, and sums with it overflow.

Ports of 0, 65536 and -1 were refused before.

--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -12,6 +12,9 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
+#include <chrono>
+#include <limits>
+
 namespace Chestnutcove::Platform {
 
 namespace {
@@ -34,6 +37,41 @@
 constexpr const char *Entry = R"({"service":"lm","address":"10.1.0.9:8080","zone":"dc-a","version":"v1","slots":32,"state":"ready",
   "cold_remaining_ms":5,"stage":"decode","models":[],"seq":4,"born":1700000000000})";
 
+// Guards against calls to the gateway's own VM, which an address that is none was taken for, and against times and counts beyond their
+// types.
+TEST(EndpointEntryTest, AddressOrNumberIsOdd_Entry_NamesNoEndpoint)
+{
+    for (const char *address :
+         {"store:80", "10.1.0:80", "0.0.0.0:80", "10.1.0.9:0", "10.1.0.9:65536", "10.1.0.9:-1", "10.1.0.9", ":80", "[::1]:80"}) {
+        auto entry = nlohmann::json::parse(Entry);
+        entry["address"] = address;
+        EXPECT_FALSE(decodeEndpoint("id", entry.dump()).ok()) << address;
+    }
+    for (const double slots : {-1.0, 0.0, 1e9, 1e300}) {
+        auto entry = nlohmann::json::parse(Entry);
+        entry["slots"] = slots;
+        EXPECT_FALSE(decodeEndpoint("id", entry.dump()).ok()) << slots;
+    }
+    auto entry = nlohmann::json::parse(Entry);
+    entry["cold_remaining_ms"] = 1e300;
+    EXPECT_LE(decodeEndpoint("id", entry.dump())->coldStartRemaining, std::chrono::hours(24));
+    entry["cold_remaining_ms"] = -1e300;
+    EXPECT_GE(decodeEndpoint("id", entry.dump())->coldStartRemaining, Milliseconds::zero());
+}
+
+TEST(ConfigurationRowTest, NumbersAreBeyondTheirTypes_TimesAndCounts_StayInRange)
+{
+    auto configuration = nlohmann::json::parse(Configuration);
+    configuration["routes"][0]["timeout_ms"] = 1e300;
+    configuration["routes"][0]["max_attempts"] = 1e300;
+    configuration["routes"][0]["priority"] = -1e300;
+    const auto decoded = decodeConfiguration(configuration.dump());
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(decoded->routes[0].timeout, std::chrono::hours(24));
+    EXPECT_EQ(decoded->routes[0].maxAttempts, std::numeric_limits<unsigned>::max());
+    EXPECT_EQ(decoded->routes[0].priority, std::numeric_limits<int>::min());
+}
+
 RequestHead requestHeadWith(HeaderFields fields)
 {
     return {"POST", "/a/x?y=1", std::move(fields)};
