ForwardedRequest: on a kept connection an answer without an id is skipped

A connection that has carried a call before takes only answers with the call's id; the first call of a connection may be refused without one as before. Ruled out: a copy with its id is skipped, one that comes while no call is in progress ends the connection. The new test failed before (503 for an order that ran); its neighbour guards the refusal on a new connection.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -285,9 +285,11 @@
     ConnectionCall call;
     call.head = Platform::encodeRequest(exchange_->head(), facts);
     call.body = exchange_->body();
-    call.matchesCall = [id = request_.facts.requestId](const ResponseHead &head) {
+    // On a connection that has carried another call, an answer without an id may be an earlier one that is written once more.
+    const bool mayLackId = !connection->hasCarriedCalls();
+    call.matchesCall = [id = request_.facts.requestId, mayLackId](const ResponseHead &head) {
         const std::string answeredId = Platform::decodeResponse(head).requestId;
-        return id.empty() || answeredId == id || (answeredId.empty() && !isSuccessStatus(head.status));
+        return id.empty() || answeredId == id || (answeredId.empty() && mayLackId && !isSuccessStatus(head.status));
     };
     // Answers to prefill calls may come without a request id, also when they report success.
     if (facts.prefillOnly) {
--- a/src/libproxy/endpointconnection.cpp
+++ b/src/libproxy/endpointconnection.cpp
@@ -57,6 +57,7 @@
 {
     call_ = std::move(call);
     callActive_ = true;
+    hasCarriedCalls_ = true;
     headAccepted_ = false;
     skippingResponse_ = false;
     headRequest_ = call_.head.method == "HEAD";
--- a/src/libproxy/endpointconnection.h
+++ b/src/libproxy/endpointconnection.h
@@ -48,6 +48,8 @@
     void cancel();
     void close();
     bool isReusable() const;
+    /** A call was sent before, so that bytes which belong to it may still come. */
+    bool hasCarriedCalls() const;
     /** When the last call ended, or when the connection was made. */
     TimePoint idleSince() const;
     /** How long the endpoint keeps an idle connection open, according to its last Keep-Alive field. */
@@ -73,10 +75,16 @@
     bool skippingResponse_ = false;
     bool headRequest_ = false;
     bool reusable_ = true;
+    bool hasCarriedCalls_ = false;
     TimePoint idleSince_;
     std::optional<Milliseconds> keepAliveTimeout_;
 };
 
+inline bool EndpointConnection::hasCarriedCalls() const
+{
+    return hasCarriedCalls_;
+}
+
 inline TimePoint EndpointConnection::idleSince() const
 {
     return idleSince_;
--- /dev/null
+++ b/tests/processes/oddanswers_test.cpp
@@ -0,0 +1,119 @@
+/**
+ * Runs the real gateway before endpoints that answer wrongly: an earlier refusal once more, or an error after a stream has begun.
+ */
+#include "scriptedendpoint.h"
+#include "usersplatformfixture.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/read.hpp>
+
+#include <thread>
+
+namespace Chestnutcove {
+
+namespace {
+
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+class OddAnswersTest : public UsersPlatformTest
+{
+protected:
+    OddAnswersTest()
+    {
+        endpointThread_ = std::jthread([this] { endpointContext_.run(); });
+    }
+
+    ~OddAnswersTest() override
+    {
+        endpointContext_.stop();
+    }
+
+    /** An open route of this kind, whose requests may go to two endpoints. */
+    void putRoute(const char *kind, bool resumable, const std::vector<const ScriptedEndpoint *> &endpoints)
+    {
+        int number = 0;
+        for (const ScriptedEndpoint *endpoint : endpoints) {
+            putRow("servers",
+                   "odd-" + std::to_string(++number),
+                   {{"service", "odd"},
+                    {"address", endpoint->record().address.text()},
+                    {"zone", "dc-1"},
+                    {"slots", 8},
+                    {"state", "ready"},
+                    {"seq", 1}});
+        }
+        putRow("op",
+               "config",
+               {{"version", 2},
+                {"routes",
+                 {{{"name", "odd"},
+                   {"host", "shop.example"},
+                   {"path_prefix", "/odd/"},
+                   {"kind", kind},
+                   {"resumable", resumable},
+                   {"timeout_ms", 1500},
+                   {"target_latency_ms", 150},
+                   {"service", "odd"},
+                   {"max_attempts", 2},
+                   {"anonymous", true}}}},
+                {"services", {{{"name", "odd"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
+                {"limits", nlohmann::json::object()}});
+    }
+
+    /** @return all bytes that the caller gets until its connection ends. */
+    std::string send(const std::string &id)
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(ip_), gateway_->port("callers")});
+        const std::string request = "POST /odd/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id
+            + "\r\nDeadline-Ms: 1200\r\nContent-Length: 4\r\nConnection: close\r\n\r\nblue";
+        asio::write(socket, asio::buffer(request));
+        std::string answer;
+        std::error_code ignored;
+        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        return answer;
+    }
+
+    static std::string success(const std::string &id)
+    {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Stamp: signed\r\nContent-Length: 4\r\n\r\ndone";
+    }
+
+    asio::io_context endpointContext_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(endpointContext_);
+    ScriptedEndpoint first_{endpointContext_};
+    ScriptedEndpoint second_{endpointContext_};
+    std::jthread endpointThread_;
+};
+
+constexpr const char *Refusal = "HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Guards against "not run" for a request that an endpoint runs: its earlier refusal, without an id, stands before the answer.
+TEST_F(OddAnswersTest, EarlierRefusalComesOnceMoreOnAKeptConnection_NextRequest_GetsItsOwnAnswer)
+{
+    first_.scripts
+        = {{success("warm"), Script::AfterResponse::KeepOpen}, {std::string(Refusal) + success("a2"), Script::AfterResponse::KeepOpen}};
+    putRoute("non_idempotent", false, {&first_});
+    ASSERT_TRUE(waitUntil([&] { return send("warm").starts_with("HTTP/1.1 200"); }));
+    const std::string answer = send("a2");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_TRUE(answer.ends_with("done")) << answer;
+    EXPECT_EQ(first_.connections, 1);
+}
+
+TEST_F(OddAnswersTest, RefusalWithoutIdOnANewConnection_Request_IsRefusedAsNotRun)
+{
+    first_.lastScript = {Refusal, Script::AfterResponse::Close};
+    putRoute("non_idempotent", false, {&first_});
+    ASSERT_TRUE(waitUntil([&] {
+        send("a1");
+        return first_.requests > 0;
+    }));
+    EXPECT_TRUE(send("a2").starts_with("HTTP/1.1 503"));
+}
+
+}
+
+}
