--- a/tests/processes/oddanswers_test.cpp
+++ b/tests/processes/oddanswers_test.cpp
@@ -114,6 +114,52 @@
     EXPECT_TRUE(send("a2").starts_with("HTTP/1.1 503"));
 }
 
+// Guards against an error's text, or the end of a complete answer, inside a stream that has begun.
+TEST_F(OddAnswersTest, StreamBreaksOffAndNextEndpointAnswersWithAnError_Caller_GetsABrokenStreamAndNothingElse)
+{
+    const std::string head
+        = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: signed\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n";
+    const std::string event = "f\r\nid: 1\ndata: a\n\n\r\n";
+    const std::string error = "HTTP/1.1 500 Error\r\nAttempt-Id: a1\r\nResponse-Stamp: signed\r\nContent-Length: 7\r\n\r\ntrouble";
+    for (const std::string &begun : {head + event, head + event + "4\r\nid: ", "HTTP/1.1 102 Processing\r\n\r\n" + head + event}) {
+        for (ScriptedEndpoint *endpoint : {&first_, &second_}) {
+            endpoint->scripts = {{begun, Script::AfterResponse::Close}};
+            endpoint->lastScript = {error, Script::AfterResponse::KeepOpen};
+        }
+        putRoute("streaming", true, {&first_, &second_});
+        std::string answer;
+        ASSERT_TRUE(waitUntil([&] {
+            answer = send("a1");
+            return answer.starts_with("HTTP/1.1 200");
+        }));
+        EXPECT_NE(answer.find("data: a"), std::string::npos) << answer;
+        EXPECT_EQ(answer.find("trouble"), std::string::npos) << answer;
+        EXPECT_EQ(answer.find("500"), std::string::npos) << answer;
+        EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << answer;
+    }
+}
+
+// Guards against the same between the head of a stream and its first event: nothing has gone to the caller yet.
+TEST_F(OddAnswersTest, StreamBreaksOffBeforeItsFirstEvent_NextEndpointAnswersWithAnError_CallerGetsOneWholeAnswer)
+{
+    const std::string head
+        = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: signed\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n4\r\nid: \r\n";
+    for (ScriptedEndpoint *endpoint : {&first_, &second_}) {
+        endpoint->lastScript = {head, Script::AfterResponse::Close};
+    }
+    putRoute("streaming", true, {&first_, &second_});
+    ASSERT_TRUE(waitUntil([&] {
+        send("a1");
+        return first_.requests + second_.requests > 0;
+    }));
+    const std::string answer = send("a1");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 50")) << answer;
+    EXPECT_EQ(answer.find("id: "), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+}
+
 }
 
 }
