CallerExchange: name the last look at a caller for what it is

Read as a newcomer: the member held the time of the last look, whatever it saw, and was named for an open connection. No behaviour changes.

--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -30,7 +30,7 @@
     , head_(std::move(head))
     , body_(std::move(body))
     , arrivedAt_(arrivedAt)
-    , seenOpenAt_(suspendAwareNow())
+    , lastLookAt_(suspendAwareNow())
 {
 }
 
@@ -131,10 +131,10 @@
 
 bool CallerExchange::hasCallerLeft(TimePoint now)
 {
-    if (connection_ && now - seenOpenAt_ < CloseCheckInterval) {
+    if (connection_ && now - lastLookAt_ < CloseCheckInterval) {
         return false;
     }
-    seenOpenAt_ = now;
+    lastLookAt_ = now;
     return !connection_ || connection_->isClosedByCaller();
 }
 
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -51,7 +51,9 @@
     bool hasBegun() const;
     /** The exchange hasn't ended and the caller is still connected. */
     bool isOpen() const;
-    /** Whether the caller has closed the connection, also if its close hasn't been handled yet, but may be unknown for CloseCheckInterval.
+    /**
+     * Whether the caller has closed the connection, also if its close hasn't been handled yet. Looks at the connection, which costs a
+     * system call, only if the last look is a while ago.
      */
     bool hasCallerLeft(TimePoint now);
     std::size_t pendingBytes() const;
@@ -64,8 +66,8 @@
     RequestHead head_;
     std::string body_;
     TimePoint arrivedAt_;
-    /** When the connection was last seen open. */
-    TimePoint seenOpenAt_;
+    /** When it was last looked at whether the caller has left. */
+    TimePoint lastLookAt_;
     std::function<void()> callerGoneHandler_;
     std::function<void()> drainedHandler_;
     bool begun_ = false;
