ForwardedRequest: bound the bytes of answers that are kept

Callers saw: a server answered 500 with a body without end.

Cause: ForwardedRequest::onBody appended each byte of an answer that isn't forwarded while it arrives to OutgoingCall::body: a failure, a refusal, a success without signature, an answer to a prefill call, the beginning of an event. Nothing bounded one of them or their sum.

Change: one such answer may have 1 MB, and all together a quarter of the process's memory limit (ByteBudget). Beyond it the answer with the most bytes is broken off, so that small sound ones don't pay. A signed success is sent on instead and keeps its back-pressure. What was broken off counts as broken, so it may have run, whatever its head says, and the caller is answered at once. It is no evidence of a crash. New: gauge kept_answer_bytes, counter answers_given_up_total, field givenUp of "call failed".

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -5,6 +5,8 @@
 #include "suspendclock.h"
 #include "text.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +19,8 @@
 constexpr int GatewayTimeout = 504;
 /** Whole answers up to this size are buffered, so that the request can be retried if one is cut off; longer ones are sent in pieces. */
 constexpr std::size_t MaxBufferedAnswerBytes = std::size_t{256} * 1024;
+/** Bytes of an answer that can't be forwarded, such as a failure or the beginning of an event, after which it is broken off. */
+constexpr std::size_t MaxKeptAnswerBytes = std::size_t{1024} * 1024;
 /** Number of bytes buffered for a slow caller above which reading from the endpoint is paused. */
 constexpr std::size_t MaxPendingBytes = std::size_t{256} * 1024;
 /** Time after the deadline within which an answer that the endpoint sent at the deadline may still arrive. */
@@ -53,6 +57,7 @@
     , request_(std::move(request))
     , attemptPolicy_(request_.route->mayRepeat(), request_.route->maxAttempts)
     , deadlineTimer_(context.ioContext)
+    , keptBytes_(context.keptAnswers, [this] { onKeptBytesExceeded(); })
 {
     Milliseconds maxWait = request_.route->timeout;
     if (request_.facts.maxWait) {
@@ -332,11 +337,52 @@
 
 void ForwardedRequest::onBody(std::string_view bytes)
 {
+    if (call_->isGivenUp) {
+        return;
+    }
     call_->body.append(bytes);
-    const bool mayForward = call_->work == CallWork::Run && call_->isSuccess() && call_->answer.isSigned;
-    if (mayForward && (call_->isEventStream || exchange_->hasBegun() || call_->body.size() > MaxBufferedAnswerBytes)) {
+    const bool isPiecewise = call_->isEventStream || exchange_->hasBegun() || call_->body.size() > MaxBufferedAnswerBytes;
+    if (isPiecewise && mayForwardBody()) {
+        forwardBody();
+    }
+    if (call_->body.size() > MaxKeptAnswerBytes) {
+        call_->isGivenUp = true;
+        breakOffCall();
+        return;
+    }
+    keptBytes_.resize(call_->body.size());
+}
+
+bool ForwardedRequest::mayForwardBody() const
+{
+    return call_->work == CallWork::Run && call_->isSuccess() && call_->answer.isSigned;
+}
+
+void ForwardedRequest::onKeptBytesExceeded()
+{
+    if (mayForwardBody()) {
         forwardBody();
+        keptBytes_.resize(call_->body.size());
+        if (call_->body.empty()) {
+            return;
+        }
     }
+    keptBytes_.resize(0);
+    call_->isGivenUp = true;
+    call_->body = {};
+    // Another request's call is being handled, so this one ends in a turn of its own.
+    asio::post(context_.ioContext, [self = shared_from_this()] {
+        if (self->call_ && self->call_->isGivenUp) {
+            self->breakOffCall();
+        }
+    });
+}
+
+void ForwardedRequest::breakOffCall()
+{
+    context_.metrics.counter("answers_given_up_total").add();
+    call_->connection->cancel();
+    onCallEnd(CallOutcome::Broken);
 }
 
 void ForwardedRequest::forwardBody()
@@ -394,6 +440,7 @@
                        {"status", call.head ? std::to_string(call.head->status) : "none"},
                        {"endsWith", call.head ? std::string(nameOf(BodyFramingNames, call.framing)) : "none"},
                        {"unforwardedBytes", std::to_string(call.body.size())},
+                       {"givenUp", call.isGivenUp ? "yes" : "no"},
                        {"ms", std::to_string(lasted.count())},
                        {"ownCalls", std::to_string(load.calls)},
                        {"reportedRunning", std::to_string(load.reported.running)},
@@ -410,6 +457,7 @@
         context_.fleet.recordWork(request_.service->name, work);
     }
     returnUnusedUnit();
+    keptBytes_.resize(0);
     arrivalCounter_.onCallEnded(call.work, outcome);
     context_.loads.onCallEnded(call.endpoint.id, call.promptWork, outcome, suspendAwareNow());
     if (call.connection) {
@@ -481,7 +529,7 @@
         reporter.onRunAnswered(request_.content);
     } else if (outcome == AttemptOutcome::Failed) {
         reporter.onRunFailed(request_.content);
-    } else if (isBrokenOff(outcome) && !exchange_->hasBegun()) {
+    } else if (isBrokenOff(outcome) && !call.isGivenUp && !exchange_->hasBegun()) {
         reporter.onRunBroken(call.endpoint, request_.content, call.startedAt);
     }
 }
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -6,6 +6,7 @@
 
 #include "arrivalcounter.h"
 #include "attemptpolicy.h"
+#include "bytebudget.h"
 #include "callerserver.h"
 #include "forwardingcontext.h"
 #include "outgoingcall.h"
@@ -63,6 +64,12 @@
 
     void onHead(const ResponseHead &head);
     void onBody(std::string_view bytes);
+    /** The answer may be sent on while it arrives. */
+    bool mayForwardBody() const;
+    /** Too many bytes of answers are kept in all: sends on what may be sent, or gives the answer up. */
+    void onKeptBytesExceeded();
+    /** Closes the call's connection in the middle of its answer, which has become too long to be kept. */
+    void breakOffCall();
     void onCallEnd(CallOutcome end);
     void logFailure(const OutgoingCall &call, AttemptOutcome outcome) const;
     /** Ends the call in progress: records its outcome and returns its connection to the pool. */
@@ -103,6 +110,8 @@
     /** On the suspend-aware clock. */
     TimePoint deadline_;
     std::optional<OutgoingCall> call_;
+    /** The bytes of the call's answer that are kept. */
+    ByteBudget::Share keptBytes_;
     /** Set while a unit of an endpoint's limit is asked for. */
     std::optional<std::uint64_t> pendingUnit_;
     /** The unit of the call that is about to be sent. */
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "bytebudget.h"
 #include "endpointadmission.h"
 #include "endpointdirectory.h"
 #include "endpointloads.h"
@@ -36,6 +37,8 @@
     FleetCoordinator &fleet;
     QuotaAdmission &quotas;
     EndpointAdmission &endpoints;
+    /** For the bytes of endpoints' answers that are kept and not forwarded yet. */
+    ByteBudget &keptAnswers;
     /** Retries that each first attempt allows. */
     double retryRatio = 0;
     /** Retries beyond that ratio, over all gateways. */
--- a/src/chestnutcove/outgoingcall.cpp
+++ b/src/chestnutcove/outgoingcall.cpp
@@ -23,10 +23,10 @@
 
 AttemptOutcome OutgoingCall::outcomeOf(CallOutcome end) const
 {
-    if (end == CallOutcome::NoResponse) {
+    if (end == CallOutcome::NoResponse && !isGivenUp) {
         return AttemptOutcome::NoAnswer;
     }
-    if (end == CallOutcome::Broken || !head) {
+    if (end == CallOutcome::Broken || isGivenUp || !head) {
         return AttemptOutcome::Broken;
     }
     if (answer.notRun) {
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -36,6 +36,8 @@
     std::string body;
     /** The answer is forwarded event by event. */
     bool isEventStream = false;
+    /** The gateway has dropped the bytes of the answer, which were too many, and breaks the call off. */
+    bool isGivenUp = false;
 
     /** Whether the answer's head has arrived and reports success. */
     bool isSuccess() const;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -53,6 +53,9 @@
 constexpr Milliseconds LeaveNoticeMargin{1500};
 /** Fraction that is used of the units that customers may spend beyond their quotas. */
 constexpr double QuotaAllowanceFraction = 0.85;
+/** The part of the memory limit that answers may use which are kept, divided by this; growing buffers use up to twice their bytes. */
+constexpr std::size_t KeptAnswersDivisor = 4;
+constexpr std::size_t MinKeptAnswerBytes = std::size_t{8} << 20U;
 /** Fraction of the fleet's retry budget that the present gateways share; the rest is for gateways that join. */
 constexpr double RetryBudgetFraction = 0.6;
 
@@ -127,6 +130,7 @@
           incarnation_,
           metrics_,
           log)
+    , keptAnswers_(std::max(MinKeptAnswerBytes, settings_.memoryBytes / KeptAnswersDivisor))
     , forwarding_{context,
                   log,
                   metrics,
@@ -138,6 +142,7 @@
                   fleet_,
                   quotas_,
                   endpointAdmission_,
+                  keptAnswers_,
                   settings_.retryRatio * RetryBudgetFraction,
                   settings_.retryReserve * RetryBudgetFraction}
     , configurationMirror_(context,
@@ -223,6 +228,7 @@
     } catch (const std::system_error &error) {
         return absl::UnavailableError(std::string("can't listen: ") + error.what());
     }
+    metrics_.gauge("kept_answer_bytes", [this] { return static_cast<double>(keptAnswers_.used()); });
     metrics_.gauge("requests_of_gone_callers", [this] { return static_cast<double>(callerServer_->requestsOfGoneCallers()); });
     // Posted, so that the ports, which the program prints after start(), are the first line of its output.
     asio::post(ioContext_, [this] {
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "bytebudget.h"
 #include "callerserver.h"
 #include "endpointadmission.h"
 #include "endpointdirectory.h"
@@ -123,6 +124,7 @@
     QuotaAdmission quotas_;
     EndpointAdmission endpointAdmission_;
     FleetCoordinator fleet_;
+    ByteBudget keptAnswers_;
     ForwardingContext forwarding_;
     TableMirror<PlatformTable> configurationMirror_;
     TableMirror<PlatformTable> endpointMirror_;
--- a/tests/processes/testprocess.cpp
+++ b/tests/processes/testprocess.cpp
@@ -120,6 +120,26 @@
     return -1;
 }
 
+bool TestProcess::isRunning() const
+{
+    siginfo_t state{};
+    return pid_ > 0 && waitid(P_PID, static_cast<id_t>(pid_), &state, WEXITED | WNOHANG | WNOWAIT) == 0 && state.si_pid == 0;
+}
+
+std::size_t TestProcess::peakResidentBytes() const
+{
+    constexpr std::size_t BytesPerKilobyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string word;
+    while (status >> word) {
+        std::size_t kilobytes = 0;
+        if (word == "VmHWM:" && status >> kilobytes) {
+            return kilobytes * BytesPerKilobyte;
+        }
+    }
+    return 0;
+}
+
 std::uint16_t TestProcess::port(const std::string &name) const
 {
     return ports_.is_object() ? ports_.value(name, std::uint16_t{0}) : 0;
--- a/tests/processes/testprocess.h
+++ b/tests/processes/testprocess.h
@@ -32,6 +32,9 @@
     /** Sends SIGTERM and waits up to 15 s for the exit. @return the exit code, or -1 if the process ended by a signal or had to be killed.
      */
     int terminate();
+    bool isRunning() const;
+    /** The most memory that the process has had resident, in bytes. */
+    std::size_t peakResidentBytes() const;
     /** The port that the process printed under this name, or 0 if it printed none. */
     std::uint16_t port(const std::string &name) const;
 
--- a/tests/processes/usersplatformfixture.h
+++ b/tests/processes/usersplatformfixture.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "endpointrecord.h"
 #include "testprocess.h"
 
 #include <gtest/gtest.h>
@@ -83,6 +84,52 @@
                 {"tenants", {{{"name", "desk"}, {"api_keys", keys}, {"rate_per_s", ratePerSecond}, {"burst", burst}}}}});
     }
 
+    /** A route that needs no key, and the service behind it. */
+    struct OpenRoute
+    {
+        std::string service = "odd";
+        std::string kind = "idempotent";
+        bool isResumable = false;
+        bool hasEngines = false;
+        int timeoutMs = 1500;
+        int maxAttempts = 2;
+    };
+
+    /** Puts a configuration of these routes, each for the path that is named like its service. */
+    void putOpenRoutes(const std::vector<OpenRoute> &routes, int version = 2)
+    {
+        nlohmann::json routeList = nlohmann::json::array();
+        nlohmann::json services = nlohmann::json::array();
+        for (const OpenRoute &route : routes) {
+            routeList.push_back({{"name", route.service},
+                                 {"host", "shop.example"},
+                                 {"path_prefix", '/' + route.service + '/'},
+                                 {"kind", route.kind},
+                                 {"resumable", route.isResumable},
+                                 {"timeout_ms", route.timeoutMs},
+                                 {"target_latency_ms", 150},
+                                 {"service", route.service},
+                                 {"max_attempts", route.maxAttempts},
+                                 {"anonymous", true}});
+            services.push_back({{"name", route.service}, {"health_path", "/healthz"}, {"max_connections", 500}});
+            if (route.hasEngines) {
+                services.back()["engine"] = {{"slots", 8}, {"kv_capacity", 100000}, {"kv_token_bytes", 1000}, {"link_mbps", 1000.0}};
+            }
+        }
+        putRow("op", "config", {{"version", version}, {"routes", routeList}, {"services", services}, {"limits", nlohmann::json::object()}});
+    }
+
+    /** @param stage of an engine; empty for an endpoint of a plain service. */
+    void putEndpoint(const std::string &id, const std::string &service, const NetworkAddress &address, const std::string &stage = "")
+    {
+        nlohmann::json entry{
+            {"service", service}, {"address", address.text()}, {"zone", "dc-1"}, {"slots", 8}, {"state", "ready"}, {"seq", 1}};
+        if (!stage.empty()) {
+            entry["stage"] = stage;
+        }
+        putRow("servers", id, entry);
+    }
+
     /** One open route of this kind to the model service, whose endpoints are engines. */
     void putEngineConfiguration(const char *kind)
     {
