EventStream: search each byte of an unfinished event once

Cause: wholeEventsSize() searched all kept bytes again for each piece that arrived, three times, and compared a string at each position.

Change: it is told how many bytes were searched before, and goes backwards once, looking closer only at ends of lines.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -362,12 +362,10 @@
 {
     if (mayForwardBody()) {
         forwardBody();
-        keptBytes_.resize(call_->body.size());
         if (call_->body.empty()) {
             return;
         }
     }
-    keptBytes_.resize(0);
     call_->isGivenUp = true;
     call_->body = {};
     // Another request's call is being handled, so this one ends in a turn of its own.
@@ -390,7 +388,8 @@
     // Only complete events are forwarded, so that a broken stream never ends inside an event.
     std::size_t size = call_->body.size();
     if (call_->isEventStream) {
-        size = wholeEventsSize(call_->body);
+        size = wholeEventsSize(call_->body, call_->searchedBytes);
+        call_->searchedBytes = call_->body.size() - size;
     }
     if (size == 0) {
         return;
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -34,6 +34,8 @@
     BodyFraming framing = BodyFraming::Length;
     /** Bytes of the answer that were not forwarded yet; of an event stream, the beginning of an event. */
     std::string body;
+    /** Leading bytes of the body that contain no end of an event. */
+    std::size_t searchedBytes = 0;
     /** The answer is forwarded event by event. */
     bool isEventStream = false;
     /** The gateway has dropped the bytes of the answer, which were too many, and breaks the call off. */
--- a/src/libproxy/bytebudget.h
+++ b/src/libproxy/bytebudget.h
@@ -19,7 +19,7 @@
     public:
         /**
          * @param onExceeded called when the holder has to free its bytes, which no longer count then; during a call of resize(), also
-         * another holder's. It must not destroy a share.
+         * another holder's. It must neither destroy a share nor call resize().
          */
         Share(ByteBudget &budget, std::function<void()> onExceeded);
         ~Share();
--- a/tests/processes/endlessanswers_test.cpp
+++ b/tests/processes/endlessanswers_test.cpp
@@ -56,12 +56,15 @@
 {
     const std::string garbage(std::size_t{64} * 1024, 'x');
     const std::string failure = "500 Internal Server Error\r\nResponse-Stamp: signed";
+    const std::string stream = "200 OK\r\nResponse-Stamp: signed\r\nContent-Type: text/event-stream";
     return {
         {"FailureWithoutFraming", "non_idempotent", headOf(failure), garbage},
         {"FailureInChunks", "non_idempotent", headOf(failure + "\r\nTransfer-Encoding: chunked"), chunkOf(garbage)},
         {"FailureOfManyGigabytes", "non_idempotent", headOf(failure + "\r\nContent-Length: 99999999999"), garbage},
         {"RefusalAsNotRun", "non_idempotent", headOf("503 Unavailable\r\nNot-Executed: full"), garbage},
         {"SuccessWithoutSignature", "non_idempotent", headOf("200 OK"), garbage},
+        {"StreamWithoutAnyEvent", "streaming", headOf(stream), garbage},
+        {"StreamOfOneEvent", "streaming", headOf(stream + "\r\nTransfer-Encoding: chunked"), chunkOf("id: 1\ndata: " + garbage)},
     };
 }
 
--- a/tests/proxy/eventstream_test.cpp
+++ b/tests/proxy/eventstream_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <chrono>
 #include <string>
 
 namespace Chestnutcove {
@@ -46,6 +47,31 @@
     }
 }
 
+// Guards against an end of an event that is missed since it arrives in two pieces.
+TEST_F(EventStreamTest, StreamArrivesInTwoPieces_EveryPosition_EndsOfEventsAreFound)
+{
+    for (const std::string_view lineEnd : LineEnds) {
+        const std::string whole = event("a", lineEnd);
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            ASSERT_EQ(wholeEventsSize(std::string_view(whole).substr(0, size)), 0U);
+            EXPECT_EQ(wholeEventsSize(whole, size), whole.size()) << size;
+        }
+    }
+}
+
+// Guards against an event loop that stands still, since all bytes of a long event are searched again with each piece.
+TEST_F(EventStreamTest, LongEventArrivesInSmallPieces_SearchTakesTimeOnlyForNewBytes)
+{
+    constexpr std::size_t EventBytes = std::size_t{1} << 20U;
+    constexpr std::size_t PieceBytes = 64;
+    const std::string bytes(EventBytes, 'x');
+    const auto start = std::chrono::steady_clock::now();
+    for (std::size_t size = PieceBytes; size <= EventBytes; size += PieceBytes) {
+        ASSERT_EQ(wholeEventsSize(std::string_view(bytes).substr(0, size), size - PieceBytes), 0U);
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds(1));
+}
+
 TEST_F(EventStreamTest, EmptyOrFurtherEmptyLines_Stream_IsWhole)
 {
     EXPECT_EQ(wholeEventsSize(""), 0U);
