MessageParser: bound the heads of responses, and all heads by their fields

Callers saw: a server that sent a head without end of short fields took the gateway over its memory, and one that sent interim answers without end held each request until its deadline.

Cause: http_parser's limit of 1 MB counted the bytes of one head, while a field of five bytes takes 64 and more in memory, on as many connections as there are; and nothing counted the responses that EndpointConnection skips.

Change: the head of a response may have 64 KB, any head 256 fields; at most 32 interim or late responses are skipped in one call. Beyond that the call is broken and its connection closed. A caller gets 431.

--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -102,7 +102,7 @@
     const std::size_t used = parser_.feed(input_);
     input_.erase(0, used);
     if (parser_.state() == MessageParser::State::Failed) {
-        sendErrorAndClose(BadRequest);
+        sendErrorAndClose(parser_.isHeadTooLong() ? HeadTooLarge : BadRequest);
         return;
     }
     if (limits.headerBytes > 0 && parser_.state() == MessageParser::State::Head && parser_.headBytes() > limits.headerBytes) {
--- a/src/libproxy/endpointconnection.cpp
+++ b/src/libproxy/endpointconnection.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int FirstFinalStatus = 200;
+/** Interim responses, and late ones to earlier calls, that may precede the response to a call. */
+constexpr unsigned MaxSkippedResponses = 32;
 
 std::optional<Milliseconds> keepAliveTimeoutOf(const HeaderFields &fields)
 {
@@ -60,6 +62,7 @@
     hasCarriedCalls_ = true;
     headAccepted_ = false;
     skippingResponse_ = false;
+    skippedResponses_ = 0;
     headRequest_ = call_.head.method == "HEAD";
     parser_.restart(headRequest_);
     if (!call_.body.empty() || call_.head.method == "POST" || call_.head.method == "PUT") {
@@ -123,6 +126,10 @@
         }
         if (skippingResponse_) {
             skippingResponse_ = false;
+            if (++skippedResponses_ > MaxSkippedResponses) {
+                finish(CallOutcome::Broken);
+                return;
+            }
             parser_.restart(headRequest_);
             continue;
         }
--- a/src/libproxy/endpointconnection.h
+++ b/src/libproxy/endpointconnection.h
@@ -73,6 +73,8 @@
     /** The head of a final response that matches the call was received. */
     bool headAccepted_ = false;
     bool skippingResponse_ = false;
+    /** Responses that were skipped during the call. */
+    unsigned skippedResponses_ = 0;
     bool headRequest_ = false;
     bool reusable_ = true;
     bool hasCarriedCalls_ = false;
--- a/src/libproxy/messageparser.cpp
+++ b/src/libproxy/messageparser.cpp
@@ -8,11 +8,16 @@
 namespace {
 
 constexpr int SkipBody = 1;
+/** Returned by a callback to make http_parser fail. */
+constexpr int Stop = 1;
 constexpr int FirstFinalStatus = 200;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
-/** Raises http_parser's built-in limit; the users of this class apply their own limit to headBytes(). */
-constexpr std::uint32_t MaxHeadBytes = 1 << 20;
+/** Raises http_parser's built-in limit; the users of this class apply their own limit to headBytes() of requests. */
+constexpr std::uint32_t MaxRequestHeadBytes = 1 << 20;
+constexpr std::size_t MaxResponseHeadBytes = std::size_t{64} * 1024;
+/** Short fields take many times their bytes in memory, so that a bound on bytes alone isn't enough. */
+constexpr std::size_t MaxHeadFields = 256;
 
 }
 
@@ -20,7 +25,7 @@
     : type_(type)
     , handlers_(std::move(handlers))
 {
-    http_parser_set_max_header_size(MaxHeadBytes);
+    http_parser_set_max_header_size(MaxRequestHeadBytes);
     restart();
 }
 
@@ -32,6 +37,7 @@
     request_ = {};
     response_ = {};
     headBytes_ = 0;
+    isHeadTooLong_ = false;
     withoutBody_ = withoutBody;
     lastWasValue_ = false;
     framing_ = BodyFraming::Length;
@@ -53,6 +59,10 @@
     if (error != HPE_OK && error != HPE_PAUSED && state_ != State::Complete) {
         state_ = State::Failed;
     }
+    if (type_ == Type::Response && state_ == State::Head && headBytes_ > MaxResponseHeadBytes) {
+        isHeadTooLong_ = true;
+        state_ = State::Failed;
+    }
     return used;
 }
 
@@ -98,6 +108,10 @@
     }
     HeaderFields &fields = message.fields();
     if (fields.empty() || message.lastWasValue_) {
+        if (fields.size() == MaxHeadFields) {
+            message.isHeadTooLong_ = true;
+            return Stop;
+        }
         fields.emplace_back();
         message.lastWasValue_ = false;
     }
--- a/src/libproxy/messageparser.h
+++ b/src/libproxy/messageparser.h
@@ -75,6 +75,8 @@
     bool keepsAlive() const;
     /** Number of bytes of the head that were parsed so far. */
     std::size_t headBytes() const;
+    /** The parser failed because the head has too many bytes or fields. */
+    bool isHeadTooLong() const;
     /** At least one byte of the message was parsed. */
     bool hasStarted() const;
 
@@ -98,6 +100,7 @@
     RequestHead request_;
     ResponseHead response_;
     std::size_t headBytes_ = 0;
+    bool isHeadTooLong_ = false;
     bool withoutBody_ = false;
     bool lastWasValue_ = false;
     BodyFraming framing_ = BodyFraming::Length;
@@ -140,6 +143,11 @@
     return headBytes_;
 }
 
+inline bool MessageParser::isHeadTooLong() const
+{
+    return isHeadTooLong_;
+}
+
 inline bool MessageParser::hasStarted() const
 {
     return headBytes_ > 0;
--- a/tests/processes/endlessanswers_test.cpp
+++ b/tests/processes/endlessanswers_test.cpp
@@ -52,16 +52,23 @@
     return "8000\r\n" + bytes.substr(0, ChunkBytes) + "\r\n";
 }
 
-std::vector<EndlessAnswer> endlessBodies()
+std::vector<EndlessAnswer> endlessAnswers()
 {
     const std::string garbage(std::size_t{64} * 1024, 'x');
     const std::string failure = "500 Internal Server Error\r\nResponse-Stamp: signed";
+    std::string fields;
+    for (int i = 0; i < 10'000; ++i) {
+        fields += "a:b\r\n";
+    }
     const std::string stream = "200 OK\r\nResponse-Stamp: signed\r\nContent-Type: text/event-stream";
     return {
         {"FailureWithoutFraming", "non_idempotent", headOf(failure), garbage},
         {"FailureInChunks", "non_idempotent", headOf(failure + "\r\nTransfer-Encoding: chunked"), chunkOf(garbage)},
         {"FailureOfManyGigabytes", "non_idempotent", headOf(failure + "\r\nContent-Length: 99999999999"), garbage},
         {"RefusalAsNotRun", "non_idempotent", headOf("503 Unavailable\r\nNot-Executed: full"), garbage},
+        {"HeadOfOneField", "non_idempotent", "HTTP/1.1 500 Error\r\nX-Long: ", garbage},
+        {"HeadOfManyFields", "non_idempotent", "HTTP/1.1 500 Error\r\n", fields},
+        {"InterimAnswers", "non_idempotent", "", "HTTP/1.1 102 Processing\r\n\r\n"},
         {"SuccessWithoutSignature", "non_idempotent", headOf("200 OK"), garbage},
         {"StreamWithoutAnyEvent", "streaming", headOf(stream), garbage},
         {"StreamOfOneEvent", "streaming", headOf(stream + "\r\nTransfer-Encoding: chunked"), chunkOf("id: 1\ndata: " + garbage)},
@@ -114,12 +121,12 @@
     EndlessEndpoint endpoint_{thread_.context()};
 };
 
-class EndlessBodiesTest : public EndlessAnswersTest, public testing::WithParamInterface<EndlessAnswer>
+class EndlessAnswerKindsTest : public EndlessAnswersTest, public testing::WithParamInterface<EndlessAnswer>
 {
 };
 
 // Guards against a caller that waits for its deadline while the gateway collects an answer of which it can't use anything.
-TEST_P(EndlessBodiesTest, AnswerHasNoEnd_Request_EndsSoonAsOneThatMayHaveRun)
+TEST_P(EndlessAnswerKindsTest, AnswerHasNoEnd_Request_EndsSoonAsOneThatMayHaveRun)
 {
     putEndlessEndpoint(GetParam());
     ASSERT_TRUE(waitUntilEndpointsAreKnown());
@@ -129,7 +136,7 @@
 }
 
 // Guards against many such answers, each below its own bound, that exceed the gateway's memory together.
-TEST_P(EndlessBodiesTest, ManyAnswersAtOnceHaveNoEnd_GatewayStaysBelowItsMemoryAndServesOthers)
+TEST_P(EndlessAnswerKindsTest, ManyAnswersAtOnceHaveNoEnd_GatewayStaysBelowItsMemoryAndServesOthers)
 {
     constexpr int Callers = 150;
     putEndlessEndpoint(GetParam());
@@ -188,7 +195,7 @@
     sound_.lastScript = {"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: signed\r\nContent-Length: " + std::to_string(AnswerBytes)
                              + "\r\n\r\n" + std::string(AnswerBytes, 'y'),
                          Script::AfterResponse::Close};
-    const EndlessAnswer endless = endlessBodies().front();
+    const EndlessAnswer endless = endlessAnswers().front();
     endpoint_.setAnswer(endless.beginning, endless.repeated);
     putEndpoint("endless-1", "endless", endpoint_.address());
     putEndpoint("long-1", "long", sound_.record().address);
@@ -210,7 +217,9 @@
     EXPECT_LT(gateway_->peakResidentBytes(), MemoryBytes);
 }
 
-INSTANTIATE_TEST_SUITE_P(Kinds, EndlessBodiesTest, testing::ValuesIn(endlessBodies()), [](const auto &test) { return test.param.name; });
+INSTANTIATE_TEST_SUITE_P(All, EndlessAnswerKindsTest, testing::ValuesIn(endlessAnswers()), [](const auto &test) {
+    return test.param.name;
+});
 
 }
 
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -140,6 +140,28 @@
     EXPECT_EQ(callWith(std::string("HTTP/1.1 100 Continue\r\n\r\n") + CompleteResponse, Script::AfterResponse::KeepOpen).status, 200);
 }
 
+// Guards against heads without end that are kept, on as many connections as the endpoint has.
+TEST_F(EndpointCallsTest, ResponseHeadHasNoEnd_Call_IsBroken)
+{
+    const std::string manyBytes = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nX-Long: " + std::string(200'000, 'x');
+    EXPECT_EQ(callWith(manyBytes, Script::AfterResponse::KeepOpen).end, CallOutcome::Broken);
+    std::string manyFields = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
+    for (int i = 0; i < 2000; ++i) {
+        manyFields += "a:b\r\n";
+    }
+    EXPECT_EQ(callWith(manyFields, Script::AfterResponse::KeepOpen).end, CallOutcome::Broken);
+}
+
+// Guards against a call that never ends, since an interim response follows the other.
+TEST_F(EndpointCallsTest, InterimResponsesHaveNoEnd_Call_IsBroken)
+{
+    std::string responses;
+    for (int i = 0; i < 2000; ++i) {
+        responses += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    EXPECT_EQ(callWith(responses, Script::AfterResponse::KeepOpen).end, CallOutcome::Broken);
+}
+
 TEST_F(EndpointCallsTest, ExtraBytesAfterResponse_NextCall_UsesNewConnection)
 {
     endpoint_.scripts = {{std::string(CompleteResponse) + CompleteResponse, Script::AfterResponse::KeepOpen},
@@ -329,6 +351,19 @@
     EXPECT_TRUE(received_.starts_with("HTTP/1.1 431"));
 }
 
+// Guards against heads of many short fields, which take more memory than their bytes.
+TEST_F(CallerServerTest, HeadHasTooManyFields_Request_IsRefused)
+{
+    limits_.headerBytes = 16384;
+    std::string head = "GET / HTTP/1.1\r\nHost: h\r\n";
+    for (int i = 0; i < 2000; ++i) {
+        head += "a:b\r\n";
+    }
+    send(head);
+    EXPECT_TRUE(received_.starts_with("HTTP/1.1 431")) << received_;
+    EXPECT_TRUE(ended_);
+}
+
 TEST_F(CallerServerTest, BodyTooLarge_Request_IsRefusedBeforeBodyArrives)
 {
     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
