ShortCall: bound engines' answers to orders, reports and releases

Cause: StageOrders::callEngine kept an engine's whole answer and had no deadline; the release of a held prompt had none either, and kept its connection.

Ruled out: the deadline of a forwarded request, since no caller stands behind these calls.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "eventstream.h"
 #include "rendezvous.h"
+#include "shortcall.h"
 #include "suspendclock.h"
 #include "text.h"
 
@@ -648,12 +649,7 @@
         if (!connection.ok()) {
             return;
         }
-        ConnectionCall call;
-        call.head = Platform::encodeHandleRelease(prompt);
-        call.onHead = [](const ResponseHead &, std::optional<std::uint64_t>) {};
-        call.onBody = [](std::string_view) {};
-        call.onEnd = [&pool, holder, connection = *connection](CallOutcome) { pool.release(holder, connection); };
-        (*connection)->send(std::move(call));
+        ShortCall::send(pool, holder, *connection, Platform::encodeHandleRelease(prompt), "", [](int, const std::string &) {});
     });
 }
 
--- a/src/chestnutcove/stageorders.cpp
+++ b/src/chestnutcove/stageorders.cpp
@@ -1,5 +1,6 @@
 #include "stageorders.h"
 
+#include "shortcall.h"
 #include "suspendclock.h"
 
 #include <nlohmann/json.hpp>
@@ -190,22 +191,7 @@
             onDone(0, "");
             return;
         }
-        struct Answer
-        {
-            int status = 0;
-            std::string body;
-        };
-        auto answer = std::make_shared<Answer>();
-        ConnectionCall message;
-        message.head = encoded.head;
-        message.body = encoded.body;
-        message.onHead = [answer](const ResponseHead &head, std::optional<std::uint64_t>) { answer->status = head.status; };
-        message.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
-        message.onEnd = [this, engine, answer, onDone, connection = *connection](CallOutcome end) {
-            pool_.release(engine, connection);
-            onDone(end == CallOutcome::Complete ? answer->status : 0, answer->body);
-        };
-        (*connection)->send(std::move(message));
+        ShortCall::send(pool_, engine, *connection, encoded.head, encoded.body, onDone);
     });
 }
 
--- a/src/libproxy/endpointconnection.h
+++ b/src/libproxy/endpointconnection.h
@@ -58,6 +58,7 @@
     BodyFraming responseFraming() const;
     void pauseReading();
     void resumeReading();
+    asio::any_io_executor executor();
 
 private:
     void onBytes(std::string_view bytes);
@@ -97,6 +98,11 @@
     return keepAliveTimeout_;
 }
 
+inline asio::any_io_executor EndpointConnection::executor()
+{
+    return socket_->executor();
+}
+
 inline BodyFraming EndpointConnection::responseFraming() const
 {
     return parser_.framing();
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -5,6 +5,7 @@
 #include "callerserver.h"
 #include "endpointpool.h"
 #include "scriptedendpoint.h"
+#include "shortcall.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -200,6 +201,56 @@
     context_.run_for(50ms);
 }
 
+class ShortCallTest : public EndpointCallsTest
+{
+protected:
+    struct Answer
+    {
+        std::optional<int> status;
+        std::string body;
+    };
+
+    Answer callWith(const Script &script, std::chrono::milliseconds wait = 150ms)
+    {
+        endpoint_.scripts = {script};
+        const auto answer = std::make_shared<Answer>();
+        const EndpointRecord record = endpoint_.record();
+        pool_.acquire(record, 0, [this, answer, record](const auto &connection) {
+            ShortCall::send(pool_, record, *connection, {"POST", "/order", {}}, "{}", [answer](int status, const std::string &body) {
+                answer->status = status;
+                answer->body = body;
+            });
+        });
+        context_.restart();
+        context_.run_for(wait);
+        return *answer;
+    }
+};
+
+TEST_F(ShortCallTest, CompleteResponse_Call_GetsItAndConnectionIsUsedAgain)
+{
+    const Answer answer = callWith({CompleteResponse});
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "hello");
+    EXPECT_EQ(callWith({CompleteResponse}).status, 200);
+    EXPECT_EQ(endpoint_.connections, 1);
+}
+
+// Guards against an engine's answer to an order or a report that is kept without bound.
+TEST_F(ShortCallTest, ResponseHasNoEnd_Call_EndsWithoutResponse)
+{
+    const Answer answer = callWith({"HTTP/1.1 200 OK\r\n\r\n" + std::string(4 * ShortCall::MaxResponseBytes, 'x')});
+    EXPECT_EQ(answer.status, 0);
+    EXPECT_LE(answer.body.size(), 2 * ShortCall::MaxResponseBytes);
+}
+
+// Guards against an order, or the release of a held prompt, that waits for its answer for good and keeps its connection.
+TEST_F(ShortCallTest, NoResponseOrOneByteNowAndThen_Call_EndsAfterItsTimeout)
+{
+    EXPECT_EQ(callWith({""}, ShortCall::ResponseTimeout + 200ms).status, 0);
+    EXPECT_EQ(callWith({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel"}, ShortCall::ResponseTimeout + 200ms).status, 0);
+}
+
 class CallerServerTest : public testing::Test
 {
 protected:
