CallerConnection: refuse methods that aren't served

Cause: http_parser ends a CONNECT after its head, whatever its length, and takes what follows for another protocol. Nothing looked at the method, so the bytes after it were the next message.

Ruled out: upgrades (http_parser reads their body when there is a length), a wrong length, and the product's own interface: HttpServerTest passed at once.

Change: an allow list of seven methods; any other gets 501, nothing after its head is read as a request and the connection is closed.

--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -4,6 +4,9 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 namespace Chestnutcove {
@@ -15,10 +18,19 @@
 /** How long a caller may take to close its side after the sending direction was shut down. */
 constexpr Milliseconds GracefulCloseTimeout{2000};
 
+/** Others, such as CONNECT, give what follows their head another meaning than a request's body. */
+constexpr std::array<std::string_view, 7> ServedMethods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+
 constexpr int BadRequest = 400;
 constexpr int RequestTimeout = 408;
 constexpr int BodyTooLarge = 413;
 constexpr int HeadTooLarge = 431;
+constexpr int NotImplemented = 501;
+
+bool isServed(std::string_view method)
+{
+    return std::find(ServedMethods.begin(), ServedMethods.end(), method) != ServedMethods.end();
+}
 
 }
 
@@ -112,6 +124,10 @@
     if (parser_.state() == MessageParser::State::Head) {
         return;
     }
+    if (!isServed(parser_.request().method)) {
+        sendErrorAndClose(NotImplemented);
+        return;
+    }
     if (limits.bodyBytes > 0 && (parser_.contentLength().value_or(0) > limits.bodyBytes || body_.size() > limits.bodyBytes)) {
         sendErrorAndClose(BodyTooLarge);
         return;
--- a/src/libproxy/message.cpp
+++ b/src/libproxy/message.cpp
@@ -96,6 +96,8 @@
         return "Too Many Requests";
     case 431:
         return "Request Header Fields Too Large";
+    case 501:
+        return "Not Implemented";
     case 502:
         return "Bad Gateway";
     case 503:
