MessageParser: refuse heads with a space in a field's name

Callers saw: "Tenant : x" or "Content-Length : 5" was accepted and passed on with the space (by hand in the review). A server that trims the name reads a field that the gateway didn't know of, a length among them.

Cause: http_parser takes a space for a character of a name.

Ruled out: "Transfer-Encoding : chunked", which it refuses.

Change: such a head fails: 400 and a closed connection for a caller (RFC 9112, 5.1), a broken answer from an endpoint.

--- a/src/libproxy/messageparser.cpp
+++ b/src/libproxy/messageparser.cpp
@@ -1,5 +1,6 @@
 #include "messageparser.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -10,9 +11,19 @@
 constexpr int SkipBody = 1;
 /** Returned by a callback to make http_parser fail. */
 constexpr int Stop = 1;
+/** The same for the callback at the end of the head, whose 1 and 2 mean something else. */
+constexpr int Fail = -1;
 constexpr int FirstFinalStatus = 200;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
+/** Characters that a field's name must not contain, although http_parser accepts them; a peer may read such a field in another way. */
+constexpr std::string_view InvalidInNames = " \t\r\n";
+
+bool hasInvalidName(const HeaderField &field)
+{
+    return field.name.find_first_of(InvalidInNames) != std::string::npos;
+}
+
 /** Raises http_parser's built-in limit; the users of this class apply their own limit to headBytes() of requests. */
 constexpr std::uint32_t MaxRequestHeadBytes = 1 << 20;
 constexpr std::size_t MaxResponseHeadBytes = std::size_t{64} * 1024;
@@ -133,6 +144,10 @@
 int MessageParser::onHeadComplete(http_parser *parser)
 {
     MessageParser &message = self(parser);
+    const HeaderFields &fields = message.fields();
+    if (std::any_of(fields.begin(), fields.end(), hasInvalidName)) {
+        return Fail;
+    }
     if (message.type_ == Type::Request) {
         message.request_.method = http_method_str(static_cast<http_method>(parser->method));
     } else {
