MessageParser, EndpointConnection: responses without body, other protocols

Cause: http_parser reads a body after 204 and 304 if a length is stated, so that bytes after such a response were its body and a sound 304 with the length of what it stands for was waited for until the deadline. A response 101 was skipped like any interim one, and what follows it, in another protocol, was read as the response.

Ruled out: responses to HEAD, which were told to the parser before.

Change: 1xx, 204 and 304 end with their head; bytes after them close the connection. A call that is answered 101, which it never asked for, is broken.

--- a/src/libproxy/endpointconnection.cpp
+++ b/src/libproxy/endpointconnection.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int SwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
 /** Interim responses, and late ones to earlier calls, that may precede the response to a call. */
 constexpr unsigned MaxSkippedResponses = 32;
@@ -126,7 +127,8 @@
         }
         if (skippingResponse_) {
             skippingResponse_ = false;
-            if (++skippedResponses_ > MaxSkippedResponses) {
+            const bool isOtherProtocol = parser_.response().status == SwitchingProtocols;
+            if (isOtherProtocol || ++skippedResponses_ > MaxSkippedResponses) {
                 finish(CallOutcome::Broken);
                 return;
             }
--- a/src/libproxy/messageparser.cpp
+++ b/src/libproxy/messageparser.cpp
@@ -159,9 +159,7 @@
     if (!chunked && hasLength) {
         message.contentLength_ = parser->content_length;
     }
-    const int status = message.response_.status;
-    const bool neverHasBody = status < FirstFinalStatus || status == NoContent || status == NotModified;
-    const bool endsWithHead = message.withoutBody_ || neverHasBody;
+    const bool endsWithHead = message.endsWithHead();
     const bool mayEndWithConnection = message.type_ == Type::Response && !endsWithHead && !hasLength;
     if (chunked && !endsWithHead) {
         message.framing_ = BodyFraming::Chunks;
@@ -172,7 +170,14 @@
     if (message.handlers_.onHead) {
         message.handlers_.onHead();
     }
-    return message.withoutBody_ ? SkipBody : 0;
+    return endsWithHead ? SkipBody : 0;
+}
+
+bool MessageParser::endsWithHead() const
+{
+    const int status = response_.status;
+    const bool neverHasBody = status < FirstFinalStatus || status == NoContent || status == NotModified;
+    return withoutBody_ || (type_ == Type::Response && neverHasBody);
 }
 
 int MessageParser::onBodyData(http_parser *parser, const char *data, std::size_t size)
--- a/src/libproxy/messageparser.h
+++ b/src/libproxy/messageparser.h
@@ -92,6 +92,8 @@
     static const http_parser_settings &settings();
 
     HeaderFields &fields();
+    /** The message has no body, whatever its fields say (RFC 9112, 6.3). */
+    bool endsWithHead() const;
 
     Type type_;
     Handlers handlers_;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -163,6 +163,36 @@
     EXPECT_EQ(callWith(responses, Script::AfterResponse::KeepOpen).end, CallOutcome::Broken);
 }
 
+// Guards against bytes of another protocol that are read as the response.
+TEST_F(EndpointCallsTest, EndpointSwitchesProtocols_Call_IsBroken)
+{
+    const std::string switched = "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n";
+    EXPECT_EQ(callWith(switched + CompleteResponse, Script::AfterResponse::KeepOpen).end, CallOutcome::Broken);
+}
+
+// Guards against a wait for a body that a response doesn't have, whatever length it states (RFC 9112, 6.3).
+TEST_F(EndpointCallsTest, ResponseWithoutBodyStatesALength_Call_IsCompleteAtOnce)
+{
+    const std::string head = "HTTP/1.1 304 Not Modified\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\n";
+    EXPECT_EQ(callWith(head, Script::AfterResponse::KeepOpen).end, CallOutcome::Complete);
+}
+
+// Guards against bytes after such a response that are taken for its body.
+TEST_F(EndpointCallsTest, BytesFollowResponseWithoutBody_NextCall_UsesNewConnection)
+{
+    const std::vector<std::string> heads{"HTTP/1.1 204 No Content\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\n",
+                                         "HTTP/1.1 304 Not Modified\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\n"};
+    for (const std::string &head : heads) {
+        endpoint_.connections = 0;
+        endpoint_.scripts = {{head + "hello", Script::AfterResponse::KeepOpen}, {CompleteResponse, Script::AfterResponse::Close}};
+        const Outcome first = call();
+        EXPECT_EQ(first.end, CallOutcome::Complete);
+        EXPECT_EQ(first.body, "");
+        EXPECT_EQ(call().body, "hello");
+        EXPECT_EQ(endpoint_.connections, 2);
+    }
+}
+
 TEST_F(EndpointCallsTest, ExtraBytesAfterResponse_NextCall_UsesNewConnection)
 {
     endpoint_.scripts = {{std::string(CompleteResponse) + CompleteResponse, Script::AfterResponse::KeepOpen},
