HttpClient: a response that ends inside its head isn't complete

Other operators' callers got a 200 with an empty body where a server had stopped in the middle of its head. It can happen here, at all users of libcurl: an answer of an endpoint behind a sidecar, a write to the store that counted as committed, a usage report that counted as accepted.

Cause: libcurl 7.88 reports success for a response whose connection closes after a whole line of its head. Also, the fields of interim responses were taken for the final one's.

Change: without the empty line after the final head the call has an unknown outcome and no status code, as for any lost response.

--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -21,6 +21,7 @@
 constexpr int PollTimeoutMs = 1000;
 constexpr int FirstSuccessCode = 200;
 constexpr int LastSuccessCode = 299;
+constexpr std::string_view StartOfStatusLine = "HTTP/";
 
 struct Transfer
 {
@@ -32,6 +33,8 @@
     curl_slist *headers = nullptr;
     std::string body;
     HttpHeaders responseHeaders;
+    /** Whether the empty line after the response's head was received; libcurl reports success without it. */
+    bool isHeadComplete = false;
 };
 
 /** libcurl's header callback: called for each line of the response's head. */
@@ -39,6 +42,13 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     const std::string_view line(data, size * count);
+    if (line.starts_with(StartOfStatusLine)) {
+        // Interim responses have a head each.
+        transfer->responseHeaders.clear();
+        transfer->isHeadComplete = false;
+        return size * count;
+    }
+    transfer->isHeadComplete = transfer->isHeadComplete || trimmed(line).empty();
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
         transfer->responseHeaders.emplace_back(line.substr(0, colon), trimmed(line.substr(colon + 1)));
@@ -67,7 +77,7 @@
 absl::Status toStatus(CURLcode code, const Transfer &transfer)
 {
     if (code == CURLE_OK) {
-        return absl::OkStatus();
+        return transfer.isHeadComplete ? absl::OkStatus() : absl::UnknownError("the response ends inside its head");
     }
     curl_off_t sent = 0;
     long requestBytes = 0;
@@ -225,7 +235,8 @@
             curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &code);
             const CURLcode result = message->data.result;
             curl_multi_remove_handle(multi_, message->easy_handle);
-            postResult(*it->second, toStatus(result, *it->second), static_cast<int>(code));
+            const int knownCode = it->second->isHeadComplete ? static_cast<int>(code) : 0;
+            postResult(*it->second, toStatus(result, *it->second), knownCode);
             freeHandles(*it->second);
             activeTransfers_.erase(it);
         }
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -42,7 +42,7 @@
      * Cancelled: cancel() ended the call. DeadlineExceeded or Unknown: the server may have executed the request.
      */
     absl::Status status;
-    /** HTTP status code, 0 when no response was received. */
+    /** HTTP status code, 0 when no complete head of a response was received. */
     int code = 0;
     std::string contentType;
     std::string body;
