HttpClient, SseParser: bound responses, heads and events

Cause: the HTTP client kept the whole body of a response and all fields of its heads, the sidecar all of an unfinished event; only time ended them.

Ruled out: libcurl's own limit, which counts one line of a head (100 KB).

Change: 16 MB of a body by default (HttpCall::maxResponseBytes), 64 KB of all heads, 1 MB of an event. Beyond that the call ends with an unknown outcome, or as a stream that broke.

Measured: three tests of httpclient_test failed before, all nine pass.

Left: pieces of a stream are posted to the core thread without a bound on those that wait for it.

--- a/src/chestnutcove/endpointadapter.cpp
+++ b/src/chestnutcove/endpointadapter.cpp
@@ -21,6 +21,7 @@
     SseParser parser;
     EndpointResult result;
     bool hasEndMark = false;
+    HttpClient::CallId call = 0;
 };
 
 void parseUsage(const nlohmann::json &json, EndpointResult &result)
@@ -131,10 +132,13 @@
         });
     }
     auto state = std::make_shared<StreamState>();
-    return httpClient_.stream(
+    state->call = httpClient_.stream(
         std::move(httpCall),
-        [state, onEvents = std::move(onEvents)](const std::string &bytes) {
+        [this, state, onEvents = std::move(onEvents)](const std::string &bytes) {
             auto events = parseEvents(*state, bytes);
+            if (state->parser.isEventTooLong()) {
+                httpClient_.cancel(state->call);
+            }
             if (!events.empty()) {
                 onEvents(std::move(events));
             }
@@ -144,11 +148,14 @@
             result.status = std::move(answer.status);
             result.code = answer.code;
             result.body = std::move(answer.body);
-            if (result.status.ok() && result.code == StatusOk && !state->hasEndMark) {
+            if (state->parser.isEventTooLong()) {
+                result.status = absl::DataLossError("an event of the endpoint's stream is too long");
+            } else if (result.status.ok() && result.code == StatusOk && !state->hasEndMark) {
                 result.status = absl::DataLossError("the endpoint's stream ended without its end mark");
             }
             onResult(std::move(result));
         });
+    return state->call;
 }
 
 void EndpointAdapter::cancel(HttpClient::CallId id)
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -21,8 +21,12 @@
 constexpr int PollTimeoutMs = 1000;
 constexpr int FirstSuccessCode = 200;
 constexpr int LastSuccessCode = 299;
+constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
 constexpr std::string_view StartOfStatusLine = "HTTP/";
 
+/** Returned by a callback instead of the number of bytes that it has taken. */
+constexpr std::size_t AbortTransfer = 0;
+
 struct Transfer
 {
     HttpCall call;
@@ -33,6 +37,8 @@
     curl_slist *headers = nullptr;
     std::string body;
     HttpHeaders responseHeaders;
+    /** Of all heads of the response. */
+    std::size_t headBytes = 0;
     /** Whether the empty line after the response's head was received; libcurl reports success without it. */
     bool isHeadComplete = false;
 };
@@ -42,6 +48,10 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     const std::string_view line(data, size * count);
+    transfer->headBytes += line.size();
+    if (transfer->headBytes > MaxHeadBytes) {
+        return AbortTransfer;
+    }
     if (line.starts_with(StartOfStatusLine)) {
         // Interim responses have a head each.
         transfer->responseHeaders.clear();
@@ -67,9 +77,12 @@
     if (transfer->onData && isSuccess) {
         asio::post(transfer->executor,
                    [handler = transfer->onData, text = std::string(data, bytes)]() mutable { handler(std::move(text)); });
-    } else {
-        transfer->body.append(data, bytes);
+        return bytes;
+    }
+    if (transfer->body.size() + bytes > transfer->call.maxResponseBytes) {
+        return AbortTransfer;
     }
+    transfer->body.append(data, bytes);
     return bytes;
 }
 
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -26,6 +26,8 @@
     HttpHeaders headers;
     std::string body;
     std::chrono::milliseconds timeout{5000};
+    /** The call ends with Unknown when the body that is kept of the response becomes longer. */
+    std::size_t maxResponseBytes = std::size_t{16} << 20U;
     /** Aborts the call when no data arrives for this long; 0 disables the limit. */
     std::chrono::milliseconds silenceTimeout{0};
     /** Opens a new connection instead of reusing one, since an open connection may have become unresponsive. */
--- a/src/libhttp/sseparser.cpp
+++ b/src/libhttp/sseparser.cpp
@@ -5,10 +5,11 @@
 std::vector<std::string> SseParser::feed(std::string_view bytes)
 {
     std::vector<std::string> events;
-    while (!bytes.empty()) {
+    while (!bytes.empty() && !isEventTooLong_) {
         const auto end = bytes.find('\n');
         if (end == std::string_view::npos) {
             partialLine_ += bytes;
+            isEventTooLong_ = data_.size() + partialLine_.size() > MaxEventBytes;
             break;
         }
         partialLine_ += bytes.substr(0, end);
@@ -18,6 +19,7 @@
         }
         parseLine(partialLine_, events);
         partialLine_.clear();
+        isEventTooLong_ = data_.size() > MaxEventBytes;
     }
     return events;
 }
--- a/tests/program/httpclient_test.cpp
+++ b/tests/program/httpclient_test.cpp
@@ -88,6 +88,46 @@
     EXPECT_FALSE(result.headerValue("X-A"));
 }
 
+// Guards against a response without end that is kept, such as one of the store, the platform or an endpoint behind a sidecar.
+TEST_F(HttpClientTest, BodyIsLongerThanItsBound_Call_EndsWithoutIt)
+{
+    HttpCall bounded;
+    bounded.maxResponseBytes = 1000;
+    const HttpResult result = call({"HTTP/1.1 200 OK\r\n\r\n" + std::string(2'000'000, 'x')}, bounded);
+    EXPECT_TRUE(absl::IsUnknown(result.status)) << result.status;
+    EXPECT_LE(result.body.size(), bounded.maxResponseBytes);
+    EXPECT_TRUE(call({"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x')}, bounded).status.ok());
+}
+
+TEST_F(HttpClientTest, HeadHasNoEnd_Call_EndsWithoutIt)
+{
+    std::string fields;
+    for (int i = 0; i < 20'000; ++i) {
+        fields += "a:b\r\n";
+    }
+    EXPECT_TRUE(absl::IsUnknown(call({"HTTP/1.1 200 OK\r\n" + fields}).status));
+    EXPECT_TRUE(absl::IsUnknown(call({"HTTP/1.1 200 OK\r\nX-Long: " + std::string(200'000, 'x')}).status));
+}
+
+// Guards against a stream whose event has no end, which the sidecar would collect.
+TEST_F(HttpClientTest, EventOfAStreamHasNoEnd_CallOfTheSidecar_IsNotOk)
+{
+    server_.scripts = {{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: " + std::string(4'000'000, 'x')}};
+    SidecarSettings settings;
+    settings.endpointUrl = url();
+    EndpointAdapter adapter(client_, settings);
+    EndpointCall call;
+    call.method = "POST";
+    call.path = "/v1/chat/completions";
+    call.stream = true;
+    std::optional<EndpointResult> result;
+    adapter.send(
+        call, [](const std::vector<EndpointEvent> &) {}, [&result](EndpointResult answer) { result = std::move(answer); });
+    awaitResult(result);
+    ASSERT_TRUE(result);
+    EXPECT_TRUE(absl::IsDataLoss(result->status)) << result->status;
+}
+
 // Guards against a write to the store that is taken for done.
 TEST_F(HttpClientTest, StoreBreaksOffItsHead_Write_HasAnUnknownOutcome)
 {
