StopSchedule: don't send what can't end in the grace; answer the rest

Other operators' requests were passed on late in a planned stop and cut at its end. It can happen here: the limit on late requests was looked at only when a request was accepted. One that was taken in the first 2.8 s and refused by its endpoint at 4.5 s was sent to another one at once and cut at 7.6 s without an answer, though it must not be repeated; so was one whose endpoint was still at work.

Cause: PlatformGateway::mayAcceptWhileStopping decided at the acceptance alone, with the whole time limit counted from the end of the body; and at the end of the grace the process left without answering.

Ruled out: requests that come late on open connections (refused as not run before), short answers (AnswersTakeUpToFiveSeconds passed before).

Change: StopSchedule says whether a request may begin, from its arrival and its time limit; it is asked at the acceptance and before each send. What has no answer 0.7 s before the kill gets one: 503 if it has not run, else 502; streams that have begun are cut at the end, as before.

Not changed: the product's own interface, whose stop waits for its requests up to ten minutes and refuses new ones after drainNotice, and the sidecar, which refuses what is queued.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -74,7 +74,7 @@
 
 void ForwardedRequest::start()
 {
-    ++context_.requestsInProgress;
+    context_.requests.insert(this);
     exchange_->onCallerGone([self = shared_from_this()] { self->onCallerLeft(); });
     exchange_->onDrained([weak = weak_from_this()] {
         const auto self = weak.lock();
@@ -118,6 +118,10 @@
         return;
     }
     const TimePoint now = suspendAwareNow();
+    if (!context_.stopSchedule.mayBegin(now, deadline_)) {
+        endWithoutEndpointAnswer();
+        return;
+    }
     placementQuery_.maxWait = deadline_ - now;
     placement_ = context_.placement.place(placementQuery_, usableEndpoints(now), now);
     recordPlacedWork(placement_);
@@ -562,6 +566,9 @@
 bool ForwardedRequest::sendRunWithHeldPrompt()
 {
     const TimePoint now = suspendAwareNow();
+    if (!context_.stopSchedule.mayBegin(now, deadline_)) {
+        return false;
+    }
     const auto engine = context_.placement.chooseRunEndpoint(placementQuery_, usableEndpoints(now), now);
     if (!engine) {
         return false;
@@ -606,16 +613,7 @@
     if (isDone_) {
         return;
     }
-    if (call_) {
-        if (call_->connection) {
-            call_->connection->cancel();
-        }
-        // An endpoint whose answer has begun has responded, so the attempt does not count as unanswered.
-        const AttemptOutcome outcome = call_->head ? AttemptOutcome::Broken : AttemptOutcome::NoAnswer;
-        const OutgoingCall call = endCall(outcome);
-        logFailure(call, outcome);
-        heldPrompt_.reset();
-    }
+    abandonCall();
     if (exchange_->hasBegun()) {
         exchange_->abort();
         finishRequest("stream cut at its timeout", 0);
@@ -624,6 +622,30 @@
     endWithoutEndpointAnswer();
 }
 
+void ForwardedRequest::endForStop()
+{
+    if (isDone_ || exchange_->hasBegun()) {
+        return;
+    }
+    abandonCall();
+    endWithoutEndpointAnswer();
+}
+
+void ForwardedRequest::abandonCall()
+{
+    if (!call_) {
+        return;
+    }
+    if (call_->connection) {
+        call_->connection->cancel();
+    }
+    // An endpoint whose answer has begun has responded, so the attempt does not count as unanswered.
+    const AttemptOutcome outcome = call_->head ? AttemptOutcome::Broken : AttemptOutcome::NoAnswer;
+    const OutgoingCall call = endCall(outcome);
+    logFailure(call, outcome);
+    heldPrompt_.reset();
+}
+
 void ForwardedRequest::onCallerLeft()
 {
     if (isDone_) {
@@ -664,7 +686,7 @@
 void ForwardedRequest::finishRequest(std::string_view outcome, int status)
 {
     isDone_ = true;
-    --context_.requestsInProgress;
+    context_.requests.erase(this);
     deadlineTimer_.cancel();
     if (pendingUnit_) {
         context_.endpoints.cancel(*std::exchange(pendingUnit_, std::nullopt));
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -45,6 +45,8 @@
     ForwardedRequest(ForwardingContext &context, std::shared_ptr<CallerExchange> exchange, AdmittedRequest request);
 
     void start();
+    /** The process ends soon: gives the caller an answer of the gateway unless one has begun. */
+    void endForStop();
 
 private:
     void placeRequest();
@@ -93,6 +95,8 @@
     void refuseRequest(Milliseconds retryAfter);
     void sendOwnAnswer(int status, std::optional<Milliseconds> retryAfter);
     void onDeadline();
+    /** Breaks off the call in progress, if there is one, since nobody waits for its answer any more. */
+    void abandonCall();
     void onCallerLeft();
     void finishRequest(std::string_view outcome, int status);
     /** Milliseconds from the reading of the request to its latest call, for the log. */
--- a/src/chestnutcove/forwardingcontext.cpp
+++ b/src/chestnutcove/forwardingcontext.cpp
@@ -1,5 +1,7 @@
 #include "forwardingcontext.h"
 
+#include "forwardedrequest.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,6 +14,15 @@
 
 }
 
+void ForwardingContext::endRequests()
+{
+    // Each of them leaves the set when it ends.
+    const auto current = requests;
+    for (ForwardedRequest *request : current) {
+        request->endForStop();
+    }
+}
+
 RetryBudget &ForwardingContext::retryBudget(const std::string &service)
 {
     const auto gateways = static_cast<double>(fleet.gatewayCount());
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -16,14 +16,18 @@
 #include "quotaadmission.h"
 #include "retrybudget.h"
 #include "routecatalogue.h"
+#include "stopschedule.h"
 
 #include <asio/io_context.hpp>
 
 #include <map>
 #include <string>
+#include <unordered_set>
 
 namespace Chestnutcove {
 
+class ForwardedRequest;
+
 struct ForwardingContext
 {
     asio::io_context &ioContext;
@@ -39,14 +43,18 @@
     EndpointAdmission &endpoints;
     /** For the bytes of endpoints' answers that are kept and not forwarded yet. */
     ByteBudget &keptAnswers;
+    const StopSchedule &stopSchedule;
     /** Retries that each first attempt allows. */
     double retryRatio = 0;
     /** Retries beyond that ratio, over all gateways. */
     double retryReserve = 0;
-    std::size_t requestsInProgress = 0;
+    /** Those in progress. */
+    std::unordered_set<ForwardedRequest *> requests;
     /** By service. */
     std::map<std::string, RetryBudget> retryBudgets;
 
+    /** Gives an answer of the gateway to each request that has none yet. */
+    void endRequests();
     RetryBudget &retryBudget(const std::string &service);
     /** Connections that this gateway may have open to one endpoint: its share of those that the endpoint accepts. */
     unsigned connectionLimit(const RoutedService &service) const;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -42,15 +42,7 @@
 constexpr Milliseconds NotReadyRetryAfter{300};
 /** Callers that a late gateway refuses come back after this many times its lateness. */
 constexpr int CatchUpFactor = 2;
-/** After a stop began, callers may still open connections until the load balancer has noticed that this gateway is not ready. */
-constexpr Milliseconds LoadBalancerDelay{2500};
-/** After a stop began, all requests are accepted for this long; later ones only if they end before the process does. */
-constexpr Milliseconds AcceptAllPeriod{2800};
 constexpr Milliseconds StoppingRetryAfter{50};
-/** The process ends by itself this long before the platform would kill it. */
-constexpr Milliseconds KillMargin{400};
-/** At the latest this long before the platform would kill the process, the gateway begins to store its usage and its leave notice. */
-constexpr Milliseconds LeaveNoticeMargin{1500};
 /** Fraction that is used of the units that customers may spend beyond their quotas. */
 constexpr double QuotaAllowanceFraction = 0.85;
 /** The part of the memory limit that answers may use which are kept, divided by this; growing buffers use up to twice their bytes. */
@@ -130,6 +122,7 @@
           incarnation_,
           metrics_,
           log)
+    , stopSchedule_(settings_.stopGrace)
     , keptAnswers_(std::max(MinKeptAnswerBytes, settings_.memoryBytes / KeptAnswersDivisor))
     , forwarding_{context,
                   log,
@@ -143,6 +136,7 @@
                   quotas_,
                   endpointAdmission_,
                   keptAnswers_,
+                  stopSchedule_,
                   settings_.retryRatio * RetryBudgetFraction,
                   settings_.retryReserve * RetryBudgetFraction}
     , configurationMirror_(context,
@@ -190,7 +184,7 @@
           context,
           [this] {
               return EventLoopMonitor::Load{
-                  callerServer_->openConnectionCount(), callerServer_->requestsOfGoneCallers(), forwarding_.requestsInProgress};
+                  callerServer_->openConnectionCount(), callerServer_->requestsOfGoneCallers(), forwarding_.requests.size()};
           },
           metrics,
           log)
@@ -384,7 +378,8 @@
                       isConfigurationFresh ? std::nullopt : std::optional(NotReadyRetryAfter));
         return;
     }
-    if (isStopping_ && !mayAcceptWhileStopping(*route, facts)) {
+    const Duration timeLimit = std::min<Duration>(route->timeout, facts.maxWait.value_or(route->timeout));
+    if (fleet_.isLeaving() || !stopSchedule_.mayBegin(suspendAwareNow(), exchange->arrivedAt() + timeLimit)) {
         refuseRequest(exchange, facts, Unavailable, "stopping", StoppingRetryAfter);
         return;
     }
@@ -437,16 +432,6 @@
     std::make_shared<ForwardedRequest>(forwarding_, exchange, std::move(request))->start();
 }
 
-bool PlatformGateway::mayAcceptWhileStopping(const Route &route, const Platform::RequestMetadata &facts) const
-{
-    if (fleet_.isLeaving()) {
-        return false;
-    }
-    const Duration sinceStop = suspendAwareNow() - stopBeganAt_;
-    const Duration timeLimit = std::min<Duration>(route.timeout, facts.maxWait.value_or(route.timeout));
-    return sinceStop < AcceptAllPeriod || sinceStop + timeLimit < settings_.stopGrace - LeaveNoticeMargin;
-}
-
 void PlatformGateway::spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request, const CustomerQuota &customer)
 {
     if (!quotas_.limits().isReady()) {
@@ -541,7 +526,8 @@
 
 bool PlatformGateway::isReady(TimePoint now) const
 {
-    return !isStopping_ && catalogue_ && configurationFreshness_.isFresh(now) && (!hasQuotas() || quotas_.limits().isReady());
+    return !stopSchedule_.isStopping() && catalogue_ && configurationFreshness_.isFresh(now)
+        && (!hasQuotas() || quotas_.limits().isReady());
 }
 
 bool PlatformGateway::hasQuotas() const
@@ -568,8 +554,7 @@
 void PlatformGateway::stop(std::function<void()> onStopped)
 {
     log_.info("stopping", {{"connections", std::to_string(callerServer_->openConnectionCount())}});
-    isStopping_ = true;
-    stopBeganAt_ = suspendAwareNow();
+    stopSchedule_.begin(suspendAwareNow());
     onStopped_ = std::move(onStopped);
     callerServer_->announceClose();
     fleet_.releaseLease();
@@ -597,20 +582,18 @@
 
 void PlatformGateway::tryFinishStop(TimePoint now)
 {
-    if (!isStopping_ || !onStopped_) {
-        return;
-    }
-    const Duration sinceStop = now - stopBeganAt_;
-    if (sinceStop < LoadBalancerDelay) {
+    if (!onStopped_ || !stopSchedule_.mayCloseIdleConnections(now)) {
         return;
     }
     callerServer_->closeIdleConnections();
     const bool isDrained = callerServer_->openConnectionCount() == 0;
-    const bool isOutOfTime = sinceStop > settings_.stopGrace - KillMargin;
-    if (isDrained || sinceStop > settings_.stopGrace - LeaveNoticeMargin) {
+    if (isDrained || stopSchedule_.mustLeave(now)) {
         fleet_.flushAndLeave();
     }
-    if ((isDrained && fleet_.hasLeft()) || isOutOfTime) {
+    if (stopSchedule_.mustEndRequests(now)) {
+        forwarding_.endRequests();
+    }
+    if ((isDrained && fleet_.hasLeft()) || stopSchedule_.mustEndProcess(now)) {
         log_.info("stopped", {{"connectionsLeft", std::to_string(callerServer_->openConnectionCount())}});
         std::exchange(onStopped_, nullptr)();
     }
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -23,6 +23,7 @@
 #include "quotaadmission.h"
 #include "quotalinks.h"
 #include "readfreshness.h"
+#include "stopschedule.h"
 #include "storeformat.h"
 #include "tablemirror.h"
 
@@ -78,11 +79,6 @@
                        int status,
                        std::string_view reason,
                        std::optional<Milliseconds> retryAfter = std::nullopt);
-    /**
-     * Whether a stopping gateway accepts the request. For a short time after the stop began it accepts all requests, then only those whose
-     * time limit ends before the process does.
-     */
-    bool mayAcceptWhileStopping(const Route &route, const Platform::RequestMetadata &facts) const;
     /** Takes the request's units from the customer's quota, possibly from other gateways, and then forwards or refuses the request. */
     void spendQuota(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest request, const CustomerQuota &customer);
     void onQuotaVerdict(const std::shared_ptr<CallerExchange> &exchange,
@@ -124,6 +120,7 @@
     QuotaAdmission quotas_;
     EndpointAdmission endpointAdmission_;
     FleetCoordinator fleet_;
+    StopSchedule stopSchedule_;
     ByteBudget keptAnswers_;
     ForwardingContext forwarding_;
     TableMirror<PlatformTable> configurationMirror_;
@@ -137,8 +134,6 @@
     /** Ids of endpoint entries that can't be decoded, so that each is logged only once. */
     std::set<std::string> unreadableEndpoints_;
 
-    bool isStopping_ = false;
-    TimePoint stopBeganAt_{};
     std::function<void()> onStopped_;
 };
 
