CallerConnection: a slow reader gets the rest of its response

Cause: the time for a graceful close counted from the moment at which the last byte lay in the gateway's own buffer, whatever the caller had read.

Ruled out: the end of the process (it lives on for seconds); bytes in the buffer alone as a measure of reading, tried first: with a large send buffer they don't change for seconds, and the test still failed.

Change: the time starts anew while the caller's side takes more (bytes that its TCP has not acknowledged, SIOCOUTQ). One that stands still is closed after 2 s as before, so that it doesn't hold up the stop; the end of the grace bounds all.

--- a/src/libproxy/bufferedsocket.cpp
+++ b/src/libproxy/bufferedsocket.cpp
@@ -2,7 +2,9 @@
 
 #include <asio/post.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -114,6 +116,13 @@
     return size == 0 || (size < 0 && !isPending);
 }
 
+std::size_t BufferedSocket::unacknowledgedBytes()
+{
+    int queued = 0;
+    const bool isKnown = open_ && ::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) == 0;
+    return output_.size() + (isKnown ? static_cast<std::size_t>(queued) : 0);
+}
+
 void BufferedSocket::write(std::string_view bytes)
 {
     if (!open_ || finishing_) {
--- a/src/libproxy/bufferedsocket.h
+++ b/src/libproxy/bufferedsocket.h
@@ -45,6 +45,8 @@
     void write(std::string_view bytes);
     /** Number of bytes in the write buffer, not yet accepted by the kernel. */
     std::size_t pendingBytes() const;
+    /** Number of written bytes that the peer has not acknowledged yet, those in the write buffer included. Costs a system call. */
+    std::size_t unacknowledgedBytes();
     /** Shuts down the sending direction once all buffered bytes are written. */
     void finishWriting();
     /** Closes at once; no handler is called any more. If received bytes are unread, the kernel resets the connection. */
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -15,7 +15,7 @@
 
 /** Limit of buffered input while a response is pending. Above it, reading pauses and the kernel holds further bytes. */
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
-/** How long a caller may take to close its side after the sending direction was shut down. */
+/** How long a caller may take to read more of its response, and then to close its side, after the sending direction was to be shut down. */
 constexpr Milliseconds GracefulCloseTimeout{2000};
 
 /** Others, such as CONNECT, give what follows their head another meaning than a request's body. */
@@ -198,6 +198,7 @@
 {
     phase_ = Phase::Closing;
     timeoutStart_ = suspendAwareNow();
+    unreadBytes_ = socket_->unacknowledgedBytes();
     input_.clear();
     socket_->finishWriting();
     socket_->resumeReading();
@@ -227,7 +228,7 @@
         }
         break;
     case Phase::Closing:
-        if (age > GracefulCloseTimeout) {
+        if (age > GracefulCloseTimeout && !hasReadMore(now)) {
             closeNow();
         }
         break;
@@ -236,6 +237,16 @@
     }
 }
 
+bool CallerConnection::hasReadMore(TimePoint now)
+{
+    const std::size_t before = std::exchange(unreadBytes_, socket_->unacknowledgedBytes());
+    if (unreadBytes_ >= before) {
+        return false;
+    }
+    timeoutStart_ = now;
+    return true;
+}
+
 void CallerConnection::write(std::string_view bytes)
 {
     socket_->write(bytes);
--- a/src/libproxy/callerconnection.h
+++ b/src/libproxy/callerconnection.h
@@ -59,6 +59,8 @@
     void onDisconnected(DisconnectReason reason);
     void readRequest();
     void sendErrorAndClose(int status);
+    /** While closing: whether the caller's side has taken some of the response since the last look. */
+    bool hasReadMore(TimePoint now);
     void dispatch();
 
     std::shared_ptr<BufferedSocket> socket_;
@@ -71,6 +73,8 @@
     /** Start of the running timeout: when the phase began, or when the last bytes of a request body arrived. */
     TimePoint timeoutStart_;
     TimePoint arrivedAt_;
+    /** While closing: bytes of the response that the caller's side had not taken when it was looked at last. */
+    std::size_t unreadBytes_ = 0;
     bool continueSent_ = false;
     bool keepAlive_ = true;
     bool headRequest_ = false;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -6,6 +6,7 @@
 #include "endpointpool.h"
 #include "scriptedendpoint.h"
 #include "shortcall.h"
+#include "suspendclock.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -471,6 +472,53 @@
     EXPECT_TRUE(ended_);
 }
 
+class ClosingConnectionTest : public CallerServerTest
+{
+protected:
+    static constexpr std::size_t ResponseBytes = std::size_t{16} << 20U;
+
+    ClosingConnectionTest()
+    {
+        server_.announceClose();
+        send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        exchanges_.at(0)->sendResponse({200, "OK", {}}, std::string(ResponseBytes, 'x'));
+    }
+
+    /** Reads up to this many bytes, and then lets the server look at its connections, after some more time. */
+    void readSome(std::size_t bytes)
+    {
+        std::string buffer(bytes, '\0');
+        std::error_code error;
+        readBytes_ += client_.read_some(asio::buffer(buffer), error);
+        hasEnded_ = error == asio::error::eof;
+        context_.restart();
+        context_.run_for(2ms);
+        now_ += 2500ms;
+        server_.closeExpiredConnections(now_);
+    }
+
+    TimePoint now_ = suspendAwareNow();
+    std::size_t readBytes_ = 0;
+    bool hasEnded_ = false;
+};
+
+// Guards against LOST: a planned stop that cuts the answer of a slow reader two seconds after the gateway has it.
+TEST_F(ClosingConnectionTest, ReaderIsSlow_GetsItsWholeResponse)
+{
+    for (int i = 0; i < 200 && !hasEnded_; ++i) {
+        readSome(std::size_t{1} << 20U);
+    }
+    EXPECT_GT(readBytes_, ResponseBytes);
+}
+
+TEST_F(ClosingConnectionTest, ReaderStandsStill_ConnectionIsClosedAfterAWhile)
+{
+    for (int i = 0; i < 4; ++i) {
+        readSome(0);
+    }
+    EXPECT_EQ(server_.openConnectionCount(), 0U);
+}
+
 TEST_F(CallerServerTest, IdleConnection_CloseIdleConnections_ClosesGracefully)
 {
     run();
