HttpTable: read keys behind the last row of a page; seals one by one

Cause: StoreFormat turns a read of two keys into a range, the store returns at most 500 rows of it, and get() ignored that there were more. The seals of all windows lie between the keys of a window's intent and its seal, so that the seal itself was cut off and taken for missing. In the same way a read of a gateway's own usage row behind 500 others would be empty.

Ruled out: the lease (held all the while); the deletion of old rows, which leaves the seals on purpose.

Change: keys behind the last row of a page are read again, only those; and a window's seal and intent are read by themselves, so that a report doesn't read 500 rows.

Left: seals are never deleted; list() of more than 500 rows of one window (more than 500 gateways) is still cut.

--- a/src/chestnutcove/usagereporter.h
+++ b/src/chestnutcove/usagereporter.h
@@ -461,7 +461,8 @@
 template<TableService Table, UsageSink Sink>
 void BasicUsageReporter<Table, Sink>::reportWindow(WindowNumber window)
 {
-    table_.get({UsageRows::sealedKey(window), UsageRows::intentKey(window)}, [this, window](const absl::StatusOr<TableRows> &rows) {
+    // Read one by one: the service returns all rows between two keys, here the seals of all windows.
+    table_.get({UsageRows::sealedKey(window)}, [this, window](const absl::StatusOr<TableRows> &rows) {
         const bool isSealed = rows.ok() && rows->contains(UsageRows::sealedKey(window));
         if (!isSealed) {
             state_ = State::Idle;
@@ -473,7 +474,13 @@
             state_ = State::Idle;
             return;
         }
-        writeIntent(window, usageToText(*usage, ""), *rows);
+        table_.get({UsageRows::intentKey(window)}, [this, window, figures = usageToText(*usage, "")](const auto &intentRows) {
+            if (!intentRows.ok()) {
+                state_ = State::Idle;
+                return;
+            }
+            writeIntent(window, figures, *intentRows);
+        });
     });
 }
 
--- a/src/libplatform/httptable.h
+++ b/src/libplatform/httptable.h
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <utility>
@@ -53,11 +54,13 @@
     {
     }
 
-    /** Reads rows in one consistent snapshot. Retried once, on a new connection, if no response arrives. */
+    /**
+     * Reads rows in one consistent snapshot, or in several if the service doesn't return them all at once. Retried once, on a new
+     * connection, if no response arrives.
+     */
     void get(const std::vector<std::string> &keys, GetHandler onRows)
     {
-        read(
-            format_.encodeGet(keys), [this](const HttpResult &result) { return format_.decodeRows(result); }, std::move(onRows));
+        getRemaining(keys, {}, std::move(onRows));
     }
 
     /** Reads all rows whose key starts with @p prefix. Retried like get(). */
@@ -203,6 +206,39 @@
         return call;
     }
 
+    /** @param rows those that were read before. */
+    void getRemaining(const std::vector<std::string> &keys, TableRows rows, GetHandler onRows)
+    {
+        if constexpr (WatchableTableFormat<Format>) {
+            // The service may return rows between the keys too, and cuts the last ones off.
+            const auto decode = [this](const HttpResult &result) { return format_.decodePage(result); };
+            read(format_.encodeGet(keys),
+                 decode,
+                 PageHandler([this, keys, rows = std::move(rows), onRows = std::move(onRows)](absl::StatusOr<TablePage> page) mutable {
+                     if (!page.ok()) {
+                         onRows(page.status());
+                         return;
+                     }
+                     std::vector<std::string> remaining;
+                     if (page->hasMore && !page->rows.empty()) {
+                         const std::string &last = page->rows.rbegin()->first;
+                         std::copy_if(keys.begin(), keys.end(), std::back_inserter(remaining), [&last](const std::string &key) {
+                             return key > last;
+                         });
+                     }
+                     rows.merge(page->rows);
+                     if (remaining.empty()) {
+                         onRows(std::move(rows));
+                     } else {
+                         getRemaining(remaining, std::move(rows), std::move(onRows));
+                     }
+                 }));
+        } else {
+            read(
+                format_.encodeGet(keys), [this](const HttpResult &result) { return format_.decodeRows(result); }, std::move(onRows));
+        }
+    }
+
     template<typename Decoder, typename Handler>
     void read(HttpCall call, Decoder decode, Handler onResult, bool isRetry = false)
     {
--- a/tests/standins/endlessendpoint.h
+++ b/tests/standins/endlessendpoint.h
@@ -24,7 +24,7 @@
 public:
     explicit EndlessEndpoint(asio::io_context &context)
         : acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , address_("127.0.0.1", acceptor_.local_endpoint().port())
+        , address_{"127.0.0.1", acceptor_.local_endpoint().port()}
     {
         accept();
     }
