ForwardedRequest: stays alive while it ends for a stop

Cause: endForStop() was called by a plain pointer; the end of a request releases the handlers that own it, which could destroy it in the middle. Found by reading the diff; the tests of the stop passed, since a cancelled call's handlers live until the next turn of the loop. No test shows it: it needs a request that waits for a unit of a limit at that moment.

Ruled out: the deadline and the caller's end, which hold the request.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -624,6 +624,8 @@
 
 void ForwardedRequest::endForStop()
 {
+    // The handlers that own this request are released when it ends.
+    const auto self = shared_from_this();
     if (isDone_ || exchange_->hasBegun()) {
         return;
     }
--- a/src/chestnutcove/forwardingcontext.cpp
+++ b/src/chestnutcove/forwardingcontext.cpp
@@ -16,10 +16,12 @@
 
 void ForwardingContext::endRequests()
 {
-    // Each of them leaves the set when it ends.
+    // Each of them leaves the set when it ends, and may be destroyed then.
     const auto current = requests;
     for (ForwardedRequest *request : current) {
-        request->endForStop();
+        if (requests.contains(request)) {
+            request->endForStop();
+        }
     }
 }
 
