Tests: one fixture for endpoints in a thread and open routes

Three process tests each wrote the thread of their endpoints, the rows of endpoints and a configuration with one open route. They use EndpointThread, putEndpoint() and putOpenRoutes() of the new tests instead.

--- a/tests/processes/deadlyrequest_test.cpp
+++ b/tests/processes/deadlyrequest_test.cpp
@@ -2,10 +2,9 @@
  * Runs two gateways before servers of a plain service that end when they run one certain request, which its caller repeats.
  */
 #include "crashingengine.h"
+#include "endpointthread.h"
 #include "usersplatformfixture.h"
 
-#include <asio/executor_work_guard.hpp>
-
 #include <thread>
 
 namespace Chestnutcove {
@@ -27,37 +26,15 @@
         , second_(startGateway("entry-2", secondIp_))
     {
         for (int i = 0; i < 3; ++i) {
-            servers_.push_back(std::make_unique<CrashingEngine>(context_, DeadlyPath, RestartTime));
-            putRow("servers",
-                   "counter-" + std::to_string(i),
-                   {{"service", "counter"},
-                    {"address", servers_.back()->address().text()},
-                    {"zone", "dc-1"},
-                    {"slots", 8},
-                    {"state", "ready"},
-                    {"seq", 1}});
+            servers_.push_back(std::make_unique<CrashingEngine>(thread_.context(), DeadlyPath, RestartTime));
+            putEndpoint("counter-" + std::to_string(i), "look", servers_.back()->address());
         }
-        putRow("op",
-               "config",
-               {{"version", 2},
-                {"routes",
-                 {{{"name", "look"},
-                   {"host", "shop.example"},
-                   {"path_prefix", "/look/"},
-                   {"kind", "idempotent"},
-                   {"timeout_ms", 800},
-                   {"target_latency_ms", 150},
-                   {"service", "counter"},
-                   {"max_attempts", 2},
-                   {"anonymous", true}}}},
-                {"services", {{{"name", "counter"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
-                {"limits", nlohmann::json::object()}});
-        thread_ = std::jthread([this] { context_.run(); });
+        putOpenRoutes({{.service = "look", .timeoutMs = 800}});
     }
 
     ~DeadlyRequestTest() override
     {
-        context_.stop();
+        thread_.stop();
     }
 
     /** Sends a request to one gateway after the other. */
@@ -83,12 +60,10 @@
         return sum;
     }
 
-    asio::io_context context_;
-    asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(context_);
+    EndpointThread thread_;
     std::vector<std::unique_ptr<CrashingEngine>> servers_;
     std::string secondIp_;
     std::unique_ptr<TestProcess> second_;
-    std::jthread thread_;
     int sent_ = 0;
 };
 
--- a/tests/processes/lategateway_test.cpp
+++ b/tests/processes/lategateway_test.cpp
@@ -2,6 +2,7 @@
  * Runs the real gateway and holds it up (SIGSTOP) while callers come and leave. They guard against requests that reach endpoints although
  * their callers had left long before.
  */
+#include "endpointthread.h"
 #include "scriptedendpoint.h"
 #include "usersplatformfixture.h"
 
@@ -29,41 +30,14 @@
             endpoint->lastScript = {
                 "HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", Script::AfterResponse::KeepOpen, AnswerDelay};
         }
-        endpointThread_ = std::jthread([this] { endpointContext_.run(); });
-        putEndpoint("full-1", first_);
-        putEndpoint("full-2", second_);
-        putRow("op",
-               "config",
-               {{"version", 2},
-                {"routes",
-                 {{{"name", "look"},
-                   {"host", "shop.example"},
-                   {"path_prefix", "/look/"},
-                   {"kind", "idempotent"},
-                   {"timeout_ms", 3000},
-                   {"target_latency_ms", 150},
-                   {"service", "counter"},
-                   {"max_attempts", 2},
-                   {"anonymous", true}}}},
-                {"services", {{{"name", "counter"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
-                {"limits", nlohmann::json::object()}});
+        putEndpoint("full-1", "look", first_.record().address);
+        putEndpoint("full-2", "look", second_.record().address);
+        putOpenRoutes({{.service = "look", .timeoutMs = 3000}});
     }
 
     ~LateGatewayTest() override
     {
-        endpointContext_.stop();
-    }
-
-    void putEndpoint(const std::string &id, const ScriptedEndpoint &endpoint)
-    {
-        putRow("servers",
-               id,
-               {{"service", "counter"},
-                {"address", endpoint.record().address.text()},
-                {"zone", "dc-1"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"seq", 1}});
+        thread_.stop();
     }
 
     /** Waits until the gateway tries both endpoints. */
@@ -93,10 +67,9 @@
         asio::write(socket, asio::buffer(request));
     }
 
-    asio::io_context endpointContext_;
-    ScriptedEndpoint first_{endpointContext_};
-    ScriptedEndpoint second_{endpointContext_};
-    std::jthread endpointThread_;
+    EndpointThread thread_;
+    ScriptedEndpoint first_{thread_.context()};
+    ScriptedEndpoint second_{thread_.context()};
     asio::io_context callerContext_;
 };
 
--- a/tests/processes/oddanswers_test.cpp
+++ b/tests/processes/oddanswers_test.cpp
@@ -1,32 +1,24 @@
 /**
  * Runs the real gateway before endpoints that answer wrongly: an earlier refusal once more, or an error after a stream has begun.
  */
+#include "endpointthread.h"
 #include "scriptedendpoint.h"
 #include "usersplatformfixture.h"
 
-#include <asio/executor_work_guard.hpp>
 #include <asio/read.hpp>
 
-#include <thread>
-
 namespace Chestnutcove {
 
 namespace {
 
-using namespace std::chrono_literals;
 using asio::ip::tcp;
 
 class OddAnswersTest : public UsersPlatformTest
 {
 protected:
-    OddAnswersTest()
-    {
-        endpointThread_ = std::jthread([this] { endpointContext_.run(); });
-    }
-
     ~OddAnswersTest() override
     {
-        endpointContext_.stop();
+        thread_.stop();
     }
 
     /** An open route of this kind, whose requests may go to two endpoints. */
@@ -34,31 +26,9 @@
     {
         int number = 0;
         for (const ScriptedEndpoint *endpoint : endpoints) {
-            putRow("servers",
-                   "odd-" + std::to_string(++number),
-                   {{"service", "odd"},
-                    {"address", endpoint->record().address.text()},
-                    {"zone", "dc-1"},
-                    {"slots", 8},
-                    {"state", "ready"},
-                    {"seq", 1}});
+            putEndpoint("odd-" + std::to_string(++number), "odd", endpoint->record().address);
         }
-        putRow("op",
-               "config",
-               {{"version", 2},
-                {"routes",
-                 {{{"name", "odd"},
-                   {"host", "shop.example"},
-                   {"path_prefix", "/odd/"},
-                   {"kind", kind},
-                   {"resumable", resumable},
-                   {"timeout_ms", 1500},
-                   {"target_latency_ms", 150},
-                   {"service", "odd"},
-                   {"max_attempts", 2},
-                   {"anonymous", true}}}},
-                {"services", {{{"name", "odd"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
-                {"limits", nlohmann::json::object()}});
+        putOpenRoutes({{.kind = kind, .isResumable = resumable}});
     }
 
     /** @return all bytes that the caller gets until its connection ends. */
@@ -81,11 +51,9 @@
         return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Stamp: signed\r\nContent-Length: 4\r\n\r\ndone";
     }
 
-    asio::io_context endpointContext_;
-    asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(endpointContext_);
-    ScriptedEndpoint first_{endpointContext_};
-    ScriptedEndpoint second_{endpointContext_};
-    std::jthread endpointThread_;
+    EndpointThread thread_;
+    ScriptedEndpoint first_{thread_.context()};
+    ScriptedEndpoint second_{thread_.context()};
 };
 
 constexpr const char *Refusal = "HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
