LimitAdmission: count and log how asks for units are answered

QuotaCollector counts asks, probes, timeouts and answers that come after their timeout; a line a second says so with the number of suspects, links and reconnects; gauges show the same. A refusal says how many holders refused and how many didn't answer. No decision changes. Tests of serving and limits: pass.

--- a/src/chestnutcove/limitadmission.cpp
+++ b/src/chestnutcove/limitadmission.cpp
@@ -11,6 +11,7 @@
 
 /** How often timeouts are checked while an answer of another gateway is outstanding. */
 constexpr Milliseconds PollInterval{40};
+constexpr Milliseconds TimeoutLogInterval{1000};
 /** A request asks one holder for at most this fraction of what a share can contain, unless it needs more of all of them. */
 constexpr double MaxLotFraction = 0.5;
 
@@ -39,6 +40,9 @@
                        {[this](const wire::TokenRequest &request) { return onRequest(request); },
                         [this](const wire::TokenGrant &grant) { onGrant(grant); },
                         [this](const wire::TokenReturn &message) { onReturn(message); }});
+    metrics.gauge(options_.metricPrefix + "_ask_timeouts_total", [this] { return static_cast<double>(collector_.counts().timeouts); });
+    metrics.gauge(options_.metricPrefix + "_late_answers_total", [this] { return static_cast<double>(collector_.counts().lateAnswers); });
+    metrics.gauge(options_.metricPrefix + "_suspected_holders", [this] { return static_cast<double>(collector_.suspectCount()); });
 }
 
 void LimitAdmission::onDivisionRead(const QuotaDivision &division, TimePoint readAt)
@@ -176,9 +180,29 @@
         hasActions = !actions.asks.empty() || !actions.verdicts.empty();
     }
     isPolling_ = false;
+    logTimeouts(suspendAwareNow());
     schedulePoll();
 }
 
+void LimitAdmission::logTimeouts(TimePoint now)
+{
+    const AskCounts &counts = collector_.counts();
+    if (counts.timeouts == loggedCounts_.timeouts || now - countsLoggedAt_ < TimeoutLogInterval) {
+        return;
+    }
+    countsLoggedAt_ = now;
+    const AskCounts before = std::exchange(loggedCounts_, counts);
+    log_.warning("asks for units not answered in time",
+                 {{"kind", options_.metricPrefix},
+                  {"asks", std::to_string(counts.sent - before.sent)},
+                  {"probes", std::to_string(counts.probes - before.probes)},
+                  {"timeouts", std::to_string(counts.timeouts - before.timeouts)},
+                  {"lateAnswers", std::to_string(counts.lateAnswers - before.lateAnswers)},
+                  {"suspects", std::to_string(collector_.suspectCount())},
+                  {"links", std::to_string(links_.linkCount())},
+                  {"reconnectsInAll", std::to_string(links_.reconnectCount())}});
+}
+
 void LimitAdmission::performAsk(const QuotaAsk &ask)
 {
     const TimePoint now = suspendAwareNow();
--- a/src/chestnutcove/limitadmission.h
+++ b/src/chestnutcove/limitadmission.h
@@ -96,6 +96,8 @@
     void performAsk(const QuotaAsk &ask);
     void returnLot(const std::string &limit, const QuotaLot &lot);
     void schedulePoll();
+    /** Logs once in a while how many asks were not answered. */
+    void logTimeouts(TimePoint now);
     /** The limit's share holders in the order in which this gateway asks them: itself first. */
     const std::vector<std::string> &holdersOf(const RateLimit &limit);
 
@@ -115,6 +117,9 @@
     bool isPollScheduled_ = false;
     bool isPolling_ = false;
     std::uint64_t lastId_ = 0;
+    /** The counts that were logged last, and when. */
+    AskCounts loggedCounts_;
+    TimePoint countsLoggedAt_{};
     std::unordered_map<std::uint64_t, VerdictHandler> verdictHandlers_;
     /** Of the division that was read last: addresses by VM, and the holders of the limits that were asked for, by name. */
     std::unordered_map<std::string, std::string> addresses_;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -480,6 +480,8 @@
                {"rate", std::to_string(static_cast<std::int64_t>(customer.rate))},
                {"burst", std::to_string(static_cast<std::int64_t>(customer.burst))},
                {"outcome", isUsedUp ? "used up" : "no holder answers"},
+               {"refusals", std::to_string(verdict.refusals)},
+               {"timeouts", std::to_string(verdict.timeouts)},
                {"division", std::to_string(quotas_.limits().divisionNumber())},
                {"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(asked).count())},
                {"retryMs", std::to_string(wait.count())}});
--- a/src/chestnutcove/quotalinks.cpp
+++ b/src/chestnutcove/quotalinks.cpp
@@ -121,6 +121,7 @@
 {
     const auto it = clients_.find(address);
     if (it != clients_.end()) {
+        ++reconnectCount_;
         it->second->reconnect();
     }
 }
@@ -136,4 +137,9 @@
     return clients_.size();
 }
 
+std::uint64_t QuotaLinks::reconnectCount() const
+{
+    return reconnectCount_;
+}
+
 }
--- a/src/chestnutcove/quotalinks.h
+++ b/src/chestnutcove/quotalinks.h
@@ -52,6 +52,8 @@
     /** Closes the links to all gateways but these. */
     void retain(const std::vector<std::string> &addresses);
     std::size_t linkCount() const;
+    /** Connections that were replaced, since the start. */
+    std::uint64_t reconnectCount() const;
 
 private:
     /** The handlers of messages of this kind, or null. */
@@ -67,6 +69,7 @@
     std::optional<LinkServer> server_;
     /** By address. */
     std::unordered_map<std::string, std::unique_ptr<LinkClient>> clients_;
+    std::uint64_t reconnectCount_ = 0;
 };
 
 }
--- a/src/libserving/quotacollector.cpp
+++ b/src/libserving/quotacollector.cpp
@@ -48,6 +48,9 @@
     const SentAsk sent = std::move(it->second);
     asks_.erase(it);
     suspects_.erase(sent.ask.holder);
+    if (sent.hasTimedOut) {
+        ++counts_.lateAnswers;
+    }
     const auto owner = collections_.find(sent.request);
     if (sent.isAbandoned || owner == collections_.end()) {
         if (answer.granted && sent.ask.units > 0 && now - sent.sentAt < options_.grantLifetime) {
@@ -97,11 +100,14 @@
         const bool isProbe = sent.ask.units <= 0;
         if (!sent.isAbandoned && age >= options_.answerTimeout) {
             sent.isAbandoned = true;
+            sent.hasTimedOut = true;
+            ++counts_.timeouts;
             suspects_.try_emplace(sent.ask.holder, Suspect{now + options_.probeInterval});
             if (isProbe) {
                 actions.silentHolders.push_back(sent.ask.holder);
             } else if (const auto owner = collections_.find(sent.request); owner != collections_.end()) {
                 owner->second.isWaiting = false;
+                ++owner->second.timeouts;
             }
         }
         it = sent.isAbandoned && age >= options_.grantLifetime ? asks_.erase(it) : std::next(it);
@@ -116,6 +122,7 @@
         }
         suspect.nextProbeAt = now + options_.probeInterval;
         QuotaAsk probe{holder, ++lastNumber_, "", 0};
+        ++counts_.probes;
         asks_.emplace(probe.number, SentAsk{probe, 0, now});
         actions.asks.push_back(std::move(probe));
     }
@@ -151,6 +158,7 @@
     }
     ++collection.nextHolder;
     collection.isWaiting = true;
+    ++counts_.sent;
     asks_.emplace(ask.number, SentAsk{ask, collection.request.id, now});
     actions.asks.push_back(std::move(ask));
 }
@@ -161,6 +169,8 @@
     verdict.request = collection.request.id;
     verdict.result = result;
     verdict.wait = collection.wait.value_or(Duration::zero());
+    verdict.refusals = collection.refusals;
+    verdict.timeouts = collection.timeouts;
     if (result == QuotaVerdict::Result::Admitted) {
         verdict.lots = std::move(collection.lots);
     } else {
--- a/src/libserving/quotacollector.h
+++ b/src/libserving/quotacollector.h
@@ -49,6 +49,18 @@
     Duration wait{};
 };
 
+/** How the asks of a process were answered, since its start. */
+struct AskCounts
+{
+    /** Asks for units, without probes. */
+    std::uint64_t sent = 0;
+    std::uint64_t probes = 0;
+    /** Asks and probes that were not answered in time. */
+    std::uint64_t timeouts = 0;
+    /** Answers to these that came after all. */
+    std::uint64_t lateAnswers = 0;
+};
+
 struct QuotaVerdict
 {
     enum class Result {
@@ -65,6 +77,9 @@
     Duration wait{};
     /** For Admitted: what the request took. */
     std::vector<QuotaLot> lots;
+    /** Holders that refused the request, and that did not answer it in time. */
+    std::size_t refusals = 0;
+    std::size_t timeouts = 0;
 };
 
 /** A lot that is not spent and goes back to its holder. */
@@ -122,6 +137,8 @@
     /** Whether an answer or a probe is outstanding. */
     bool isBusy() const;
     bool isSuspect(const std::string &holder) const;
+    std::size_t suspectCount() const;
+    const AskCounts &counts() const;
     /** Forgets what is known of holders other than these. */
     void retainHolders(const std::vector<std::string> &holders);
 
@@ -136,6 +153,7 @@
         /** The shortest time that a holder named. */
         std::optional<Duration> wait;
         std::size_t refusals = 0;
+        std::size_t timeouts = 0;
         bool isWaiting = false;
         /** A holder that counts as silent was asked, since there was no other. */
         bool hasAskedSuspect = false;
@@ -147,6 +165,7 @@
         std::uint64_t request = 0;
         TimePoint sentAt;
         bool isAbandoned = false;
+        bool hasTimedOut = false;
     };
     struct Suspect
     {
@@ -166,6 +185,17 @@
     std::map<std::string, Suspect> suspects_;
     std::deque<QuotaReturn> pendingReturns_;
     std::uint64_t lastNumber_ = 0;
+    AskCounts counts_;
 };
 
+inline const AskCounts &QuotaCollector::counts() const
+{
+    return counts_;
+}
+
+inline std::size_t QuotaCollector::suspectCount() const
+{
+    return suspects_.size();
+}
+
 }
