LinkClient: a new connection takes no new socket; no error ends the process

Cause: reconnect() opened a socket of its own for each connection and closed the old one in a later turn of the event loop and of the library's reaper. A context has 1,023 places for sockets; a late process opened them faster than it closed them, and the error went out of a timer's handler. The same for links beyond the 1,023rd. Ruled out: the process's descriptors.

Change: a link keeps its socket and replaces the connection in it; a link that can't get a socket rejects messages and tries again at its next reconnect.

Before: LinkReconnectTest.EventLoopStandsStill did not end (the error was thrown after about 1,000 calls, and the context then waited for sockets in handlers that never ran); it was ended by hand after 10 minutes. Its four tests pass now.

--- a/src/libtransport/link.cpp
+++ b/src/libtransport/link.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
+#include <optional>
 #include <set>
 
 namespace Chestnutcove {
@@ -328,7 +330,7 @@
 public:
     Impl(LinkContext &context, std::string address, std::string serverKey, Handler handler, LinkOptions options)
         : context_(context.impl())
-        , address_(std::move(address))
+        , endpoint_("tcp://" + address)
         , serverKey_(std::move(serverKey))
         , handler_(std::move(handler))
         , options_(options)
@@ -338,11 +340,16 @@
 
     ~Impl()
     {
-        watcher_->stop();
+        if (watcher_) {
+            watcher_->stop();
+        }
     }
 
     bool send(const wire::Envelope &message)
     {
+        if (!socket_) {
+            return false;
+        }
         const std::string data = message.SerializeAsString();
         const bool sent = sendFrame(*socket_, data.data(), data.size(), zmq::send_flags::none);
         watcher_->scheduleRead();
@@ -351,32 +358,45 @@
 
     void reconnect()
     {
-        watcher_->stop();
-        // The call may come from a handler of the old socket's input, so the old socket is destroyed in a later turn of the event loop.
-        asio::post(context_.context(), [old = std::shared_ptr<zmq::socket_t>(std::move(socket_)), watcher = watcher_] {});
-        openSocket();
+        if (!socket_) {
+            openSocket();
+            return;
+        }
+        // The socket is kept: a new one would need another of the context's few places until the old one is closed in the background.
+        try {
+            socket_->disconnect(endpoint_);
+        } catch (const zmq::error_t &) {
+            // There was no connection.
+        }
+        connectSocket();
     }
 
 private:
+    /** Leaves the link without a socket, so that it rejects messages, when the context or the process can't have another one. */
     void openSocket()
     {
-        socket_ = std::make_unique<zmq::socket_t>(context_.zmq(), zmq::socket_type::dealer);
-        setCommonOptions(*socket_, options_);
-        socket_->set(zmq::sockopt::immediate, !options_.queuesUntilConnected);
-        socket_->set(zmq::sockopt::reconnect_ivl, ReconnectDelayMs);
-        socket_->set(zmq::sockopt::reconnect_ivl_max, MaxReconnectDelayMs);
-        socket_->set(zmq::sockopt::curve_serverkey, serverKey_);
-        socket_->set(zmq::sockopt::curve_publickey, context_.keys().publicKey);
-        socket_->set(zmq::sockopt::curve_secretkey, context_.keys().secretKey);
+        try {
+            socket_.emplace(context_.zmq(), zmq::socket_type::dealer);
+            setCommonOptions(*socket_, options_);
+            socket_->set(zmq::sockopt::immediate, !options_.queuesUntilConnected);
+            socket_->set(zmq::sockopt::reconnect_ivl, ReconnectDelayMs);
+            socket_->set(zmq::sockopt::reconnect_ivl_max, MaxReconnectDelayMs);
+            socket_->set(zmq::sockopt::curve_serverkey, serverKey_);
+            socket_->set(zmq::sockopt::curve_publickey, context_.keys().publicKey);
+            socket_->set(zmq::sockopt::curve_secretkey, context_.keys().secretKey);
+            watcher_ = std::make_shared<SocketWatcher>(context_.context(), *socket_, [this] { receiveMessage(); });
+        } catch (const std::exception &) {
+            socket_.reset();
+            return;
+        }
         connectSocket();
-        watcher_ = std::make_shared<SocketWatcher>(context_.context(), *socket_, [this] { receiveMessage(); });
         watcher_->start();
     }
 
     void connectSocket()
     {
         try {
-            socket_->connect("tcp://" + address_);
+            socket_->connect(endpoint_);
         } catch (const zmq::error_t &) {
             // An address that is none is like one where nobody listens: messages are rejected.
         }
@@ -395,11 +415,12 @@
     }
 
     LinkContext::Impl &context_;
-    std::string address_;
+    std::string endpoint_;
     std::string serverKey_;
     Handler handler_;
     LinkOptions options_;
-    std::unique_ptr<zmq::socket_t> socket_;
+    /** Empty when it could not be opened. */
+    std::optional<zmq::socket_t> socket_;
     std::shared_ptr<SocketWatcher> watcher_;
 };
 
--- a/src/libtransport/link.h
+++ b/src/libtransport/link.h
@@ -97,7 +97,7 @@
 
     /** @return false when there is no connection or its send queue is full; the message is then not sent. */
     bool send(const wire::Envelope &message);
-    /** Closes the connection and opens a new one. Messages in flight are lost. */
+    /** Closes the connection and opens a new one. Messages in flight are lost. A link that could get no socket tries again. */
     void reconnect();
 
 private:
