PlatformGateway: an old copy of the configuration denies nothing

A client got 404 for a route that an acknowledged configuration held.

Cause: a gateway whose copy was 2.6 s old, and that knew it, still said 404; the only bound was that of withdrawn keys (4.3 s). Callers don't retry a 404 or 401. Change: once the copy's proof is older than the time that a configuration may take to be in force, unknown routes and keys get 503 with a time to come back.

Test: UsersPlatformTest.StoreSilentForLongerThanAConfigurationTakes; before it got 404 and 401 where 503 is expected, now it passes, with those around it.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -366,16 +366,13 @@
 
 void PlatformGateway::admitRequest(const std::shared_ptr<CallerExchange> &exchange, Platform::RequestMetadata facts)
 {
-    const bool isConfigurationFresh = configurationFreshness_.isFresh(suspendAwareNow());
+    const bool mayDeny = isConfigurationNewEnoughToDeny();
     const HeaderField *host = findField(exchange->head().fields, "Host");
     const Route *route = catalogue_->findRoute(host == nullptr ? "" : host->value, exchange->head().path());
     if (route == nullptr) {
-        // Without a fresh configuration the route may exist by now, so the caller is told to retry.
-        refuseRequest(exchange,
-                      facts,
-                      isConfigurationFresh ? NotFound : Unavailable,
-                      "no route",
-                      isConfigurationFresh ? std::nullopt : std::optional(NotReadyRetryAfter));
+        // With an old configuration the route may exist by now, so the caller is told to retry.
+        refuseRequest(
+            exchange, facts, mayDeny ? NotFound : Unavailable, "no route", mayDeny ? std::nullopt : std::optional(NotReadyRetryAfter));
         return;
     }
     const Duration timeLimit = std::min<Duration>(route->timeout, facts.maxWait.value_or(route->timeout));
@@ -393,13 +390,17 @@
         return;
     }
     if (catalogue_->needsKeys() && !route->anonymous) {
-        if (!isConfigurationFresh) {
+        if (!configurationFreshness_.isFresh(suspendAwareNow())) {
             refuseRequest(exchange, request.facts, Unavailable, "keys not fresh", NotReadyRetryAfter);
             return;
         }
         const CustomerQuota *customer = catalogue_->findCustomer(request.facts.key);
         if (customer == nullptr) {
-            refuseRequest(exchange, request.facts, Unauthorised, "unknown key");
+            refuseRequest(exchange,
+                          request.facts,
+                          mayDeny ? Unauthorised : Unavailable,
+                          "unknown key",
+                          mayDeny ? std::nullopt : std::optional(NotReadyRetryAfter));
             return;
         }
         request.customer = customer->name;
@@ -416,6 +417,12 @@
     forwardRequest(exchange, std::move(request));
 }
 
+bool PlatformGateway::isConfigurationNewEnoughToDeny() const
+{
+    const auto age = configurationFreshness_.age(suspendAwareNow());
+    return age && *age <= std::min<Duration>(settings_.configurationDelay, settings_.keyRevocation - RevocationMargin);
+}
+
 bool PlatformGateway::refuseCrashingRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request)
 {
     request.content
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -74,6 +74,9 @@
 
     void onRequest(const std::shared_ptr<CallerExchange> &exchange);
     void admitRequest(const std::shared_ptr<CallerExchange> &exchange, Platform::RequestMetadata facts);
+    /** Whether a newer configuration would be known if there had been time enough for it, so that routes and keys may be said not to exist.
+     */
+    bool isConfigurationNewEnoughToDeny() const;
     void refuseRequest(const std::shared_ptr<CallerExchange> &exchange,
                        const Platform::RequestMetadata &facts,
                        int status,
--- a/tests/processes/usersplatform_test.cpp
+++ b/tests/processes/usersplatform_test.cpp
@@ -70,6 +70,26 @@
     EXPECT_TRUE(waitUntilServed("key-1"));
 }
 
+// Guards against a 404 or 401 from a copy of the configuration that was known to be too old to deny anything (CONFIG).
+TEST_F(UsersPlatformTest, StoreSilentForLongerThanAConfigurationTakes_UnknownRouteAndKey_AreNotDenied)
+{
+    constexpr auto ConfigurationDelay = 2000ms;
+    constexpr int RevocationMs = 5000;
+    const std::string ip = loopbackAddress("127.78.");
+    const auto gateway = startGateway("entry-2", ip, RevocationMs);
+    const auto send = [&](const char *path, const char *key) { return sendOrderTo(*gateway, ip, path, key).code; };
+    ASSERT_TRUE(waitUntil([&] { return send("/orders/1", "key-1") == 200; }));
+    EXPECT_EQ(404, send("/unknown/1", "key-1"));
+    EXPECT_EQ(401, send("/orders/1", "key-9"));
+    callAdmin("/admin/faults", {{"silentStore", true}});
+    std::this_thread::sleep_for(ConfigurationDelay + 100ms);
+    EXPECT_EQ(503, send("/unknown/1", "key-1"));
+    EXPECT_EQ(503, send("/orders/1", "key-9"));
+    EXPECT_EQ(200, send("/orders/1", "key-1"));
+    callAdmin("/admin/faults", {{"silentStore", false}});
+    EXPECT_TRUE(waitUntil([&] { return send("/unknown/1", "key-1") == 404; }));
+}
+
 TEST_F(UsersPlatformTest, KeyWithdrawnWhileSuspended_ResumedWithStoreDown_KeyIsNotServed)
 {
     ASSERT_TRUE(waitUntilServed("key-1"));
--- a/tests/processes/usersplatformfixture.h
+++ b/tests/processes/usersplatformfixture.h
@@ -46,13 +46,14 @@
         return network + std::to_string(getpid() / 250 % 250) + '.' + std::to_string(getpid() % 250 + 1);
     }
 
-    std::unique_ptr<TestProcess> startGateway(const std::string &vm, const std::string &ip)
+    std::unique_ptr<TestProcess> startGateway(const std::string &vm, const std::string &ip, int revocationMs = 2000)
     {
         const std::string store = "127.0.0.1:" + std::to_string(platform_.port("port"));
         const std::string file = testing::TempDir() + "usersplatform-" + vm + '-' + std::to_string(getpid()) + ".conf";
         std::ofstream(file) << "node=" << vm << "\nzone=dc-1\nip=" << ip << "\nlisten.front=" << ip << ":0\nlisten.ready=" << ip
                             << ":0\nplatform.address=" << store << "\ncloud.address=" << store
-                            << "\ncloud.duties=usage_report\nbounds.revoke_ms=2000\nbounds.usage_window_s=1\nbounds.usage_late_s=4\nbounds."
+                            << "\ncloud.duties=usage_report\nbounds.revoke_ms=" << revocationMs
+                            << "\nbounds.usage_window_s=1\nbounds.usage_late_s=4\nbounds."
                                "retry_budget_slack=50\n";
         return std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--platform"}, "CHESTNUTCOVE_BOOT", file);
     }
--- a/tests/standins/usersplatform.cpp
+++ b/tests/standins/usersplatform.cpp
@@ -68,6 +68,9 @@
 
 void UsersPlatformStandIn::serveStore(const HttpRequest &request, const HttpReply &reply)
 {
+    if (silentStore_) {
+        return;
+    }
     if (down_) {
         respond(reply, 503, "{}");
         return;
@@ -109,6 +112,9 @@
 
 void UsersPlatformStandIn::answerFeeds(std::chrono::steady_clock::time_point now)
 {
+    if (silentStore_) {
+        return;
+    }
     std::erase_if(feeds_, [&](const PendingFeed &feed) {
         if (down_) {
             respond(feed.reply, 503, "{}");
@@ -179,6 +185,7 @@
         }
     } else if (request.path == "/admin/faults") {
         down_ = body.value("down", down_);
+        silentStore_ = body.value("silentStore", silentStore_);
         silentEndpoint_ = body.value("silentEndpoint", silentEndpoint_);
         runsToRefuse_ = body.value("refusedRuns", runsToRefuse_);
         limits_ = body.value("limits", limits_);
--- a/tests/standins/usersplatform.h
+++ b/tests/standins/usersplatform.h
@@ -79,6 +79,8 @@
     std::chrono::steady_clock::time_point startedAt_ = std::chrono::steady_clock::now();
     /** The store responds with 503. */
     bool down_ = false;
+    /** The store takes calls and never answers. */
+    bool silentStore_ = false;
     /** The endpoint accepts requests and never responds. */
     bool silentEndpoint_ = false;
     /** Number of decode requests with a prompt prefilled elsewhere (Kv-Source) that are still to be refused as not executed. */
