HttpClient: leave the connections that may be silent with the one that was

A poll on a connection that had gone silent took its whole timeout; the next was sent on a new connection, but the one after it on another old one from the pool, silent too, and so on.

Change: a call that times out on a reused connection without a byte marks all connections that were open by then; for 2 s calls get new ones, later only connections that are younger than the finding.

Test: AllOpenConnectionsGoSilent_OneIsFound; before the change the calls after the first failed too, one for each old connection; now all are answered and the new connections are reused.

--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr long ConnectTimeoutMs = 1000;
+/** All calls get new connections for this long after an open one was found silent. */
+constexpr std::chrono::seconds FreshConnectionPeriod{2};
 constexpr int PollTimeoutMs = 1000;
 constexpr int FirstSuccessCode = 200;
 constexpr int LastSuccessCode = 299;
@@ -214,8 +217,9 @@
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-        curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(maxConnectionAge_.count()));
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection || call.atMostOnce ? 1L : 0L);
+        const bool isFresh = call.freshConnection || call.atMostOnce || hasFoundSilenceRecently();
+        curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(oldestUsableConnection().count()));
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, isFresh ? 1L : 0L);
         if (call.silenceTimeout.count() > 0) {
             curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
             const auto seconds = std::chrono::ceil<std::chrono::seconds>(call.silenceTimeout);
@@ -234,6 +238,32 @@
         activeTransfers_.emplace(id, std::move(transfer));
     }
 
+    /** Notes that an open connection took a call and gave no byte back, as happens when the way to the server is cut without a reset. */
+    void noteSilence(const Transfer &transfer, CURLcode result)
+    {
+        long newConnections = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &newConnections);
+        if (result == CURLE_OPERATION_TIMEDOUT && newConnections == 0 && transfer.headBytes == 0) {
+            silenceFoundAt_ = std::chrono::steady_clock::now();
+        }
+    }
+
+    bool hasFoundSilenceRecently() const
+    {
+        return silenceFoundAt_ && std::chrono::steady_clock::now() - *silenceFoundAt_ < FreshConnectionPeriod;
+    }
+
+    /** Connections that were open when one was found silent aren't used again, since the others may be silent too. */
+    std::chrono::seconds oldestUsableConnection() const
+    {
+        if (!silenceFoundAt_) {
+            return maxConnectionAge_;
+        }
+        // libcurl compares whole seconds, and takes zero for no limit.
+        const auto sinceThen = std::chrono::floor<std::chrono::seconds>(std::chrono::steady_clock::now() - *silenceFoundAt_);
+        return std::clamp(sinceThen - std::chrono::seconds(1), std::chrono::seconds(1), maxConnectionAge_);
+    }
+
     void completeTransfers()
     {
         int messagesLeft = 0;
@@ -247,6 +277,7 @@
             long code = 0;
             curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &code);
             const CURLcode result = message->data.result;
+            noteSilence(*it->second, result);
             curl_multi_remove_handle(multi_, message->easy_handle);
             const int knownCode = it->second->isHeadComplete ? static_cast<int>(code) : 0;
             postResult(*it->second, toStatus(result, *it->second), knownCode);
@@ -286,6 +317,8 @@
     std::vector<CallId> queuedCancels_;
     /** Used only by thread_. */
     std::map<CallId, std::unique_ptr<Transfer>> activeTransfers_;
+    /** When an open connection was found silent last. Used only by thread_. */
+    std::optional<std::chrono::steady_clock::time_point> silenceFoundAt_;
     std::thread thread_;
 };
 
--- a/tests/program/httpclient_test.cpp
+++ b/tests/program/httpclient_test.cpp
@@ -9,8 +9,15 @@
 #include "jsonusagesink.h"
 #include "scriptedendpoint.h"
 
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <thread>
+#include <vector>
+
 namespace Chestnutcove {
 
 namespace {
@@ -20,6 +27,96 @@
 /** libcurl 7.88 reports success for such a response: the last line of the head is whole, the head isn't. */
 constexpr const char *CutHead = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
 
+/** A server whose connections can go silent for good, as if the way between were cut: it takes what is sent and never answers. */
+class SilentServer
+{
+public:
+    explicit SilentServer(asio::io_context &context)
+        : acceptor_(context, {asio::ip::address_v4::loopback(), 0})
+    {
+        accept();
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    /** Answers only once this many requests wait, so that each has a connection of its own. */
+    void holdUntil(std::size_t requests)
+    {
+        held_ = requests;
+    }
+
+    void silenceOpenConnections()
+    {
+        for (const auto &session : sessions_) {
+            session->isSilent = true;
+        }
+    }
+
+    std::size_t connections() const
+    {
+        return sessions_.size();
+    }
+
+private:
+    struct Session
+    {
+        explicit Session(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        asio::ip::tcp::socket socket;
+        std::string input;
+        bool isSilent = false;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            sessions_.push_back(std::make_shared<Session>(std::move(socket)));
+            read(sessions_.back());
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Session> &session)
+    {
+        asio::async_read_until(
+            session->socket, asio::dynamic_buffer(session->input), "\r\n\r\n", [this, session](const std::error_code &error, std::size_t) {
+                if (error) {
+                    return;
+                }
+                session->input.clear();
+                if (!session->isSilent) {
+                    waiting_.push_back(session);
+                    answer();
+                }
+                read(session);
+            });
+    }
+
+    void answer()
+    {
+        if (waiting_.size() < held_) {
+            return;
+        }
+        held_ = 0;
+        for (const auto &session : std::exchange(waiting_, {})) {
+            asio::write(session->socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        }
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::shared_ptr<Session>> sessions_;
+    std::vector<std::shared_ptr<Session>> waiting_;
+    std::size_t held_ = 0;
+};
+
 class HttpClientTest : public testing::Test
 {
 protected:
@@ -173,6 +270,43 @@
     EXPECT_FALSE(result->status.ok());
 }
 
+// Guards against a copy of the configuration that isn't confirmed in time (CONFIG): after one connection to the store had been found
+// silent, the next calls went to others that had gone silent with it, one after the other.
+TEST_F(HttpClientTest, AllOpenConnectionsGoSilent_OneIsFound_NextCallsAreAnswered)
+{
+    SilentServer server(context_);
+    const auto send = [this, &server](int calls) {
+        int answered = 0;
+        int ended = 0;
+        for (int i = 0; i < calls; ++i) {
+            HttpCall each;
+            each.url = server.url();
+            each.timeout = 400ms;
+            client_.send(std::move(each), [&](const HttpResult &result) {
+                ++ended;
+                answered += result.status.ok() ? 1 : 0;
+            });
+        }
+        const auto end = std::chrono::steady_clock::now() + 3s;
+        while (ended < calls && std::chrono::steady_clock::now() < end) {
+            context_.run_one_for(20ms);
+        }
+        return answered;
+    };
+    constexpr int Connections = 4;
+    server.holdUntil(Connections);
+    ASSERT_EQ(Connections, send(Connections));
+    server.silenceOpenConnections();
+    EXPECT_EQ(0, send(1));
+    EXPECT_EQ(1, send(1));
+    std::this_thread::sleep_for(2100ms);
+    for (int i = 0; i < Connections; ++i) {
+        EXPECT_EQ(1, send(1));
+    }
+    // New connections are kept for further calls again.
+    EXPECT_LE(server.connections(), 2U * Connections);
+}
+
 }
 
 }
