CallerServer: pause when a connection can't be accepted

Found by reading: a waiting connection stays readable, so that the event loop did nothing but try to accept it, which keeps everything else from closing descriptors.

Change: 50 ms pause after an error other than that nothing waits.

--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds CallerAckTimeout{5000};
 /** New connections that are accepted before the event loop handles other events. */
 constexpr int MaxAcceptedPerTurn = 64;
+/** Pause after a connection could not be accepted, as when no descriptor is free; the connection stays readable meanwhile. */
+constexpr Milliseconds AcceptRetryInterval{50};
 /** Time between two looks, which cost a system call each, at whether a caller has left. */
 constexpr Milliseconds CloseCheckInterval{50};
 constexpr int NoContent = 204;
@@ -153,6 +155,7 @@
 CallerServer::CallerServer(asio::io_context &context, const asio::ip::tcp::endpoint &listen, LimitsReader limits, RequestHandler onRequest)
     : shared_(std::make_shared<SharedState>(SharedState{context.get_executor(), std::move(limits), std::move(onRequest)}))
     , acceptor_(context)
+    , retryTimer_(context)
 {
     acceptor_.open(listen.protocol());
     acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
@@ -181,24 +184,39 @@
         if (error == asio::error::operation_aborted) {
             return;
         }
-        acceptWaiting();
-        awaitConnections();
+        if (acceptWaiting()) {
+            awaitConnections();
+        } else {
+            retryLater();
+        }
     });
 }
 
-void CallerServer::acceptWaiting()
+void CallerServer::retryLater()
+{
+    retryTimer_.expires_after(AcceptRetryInterval);
+    retryTimer_.async_wait([this](const std::error_code &error) {
+        if (!error) {
+            awaitConnections();
+        }
+    });
+}
+
+bool CallerServer::acceptWaiting()
 {
     for (int i = 0; i < MaxAcceptedPerTurn; ++i) {
         std::error_code error;
         tcp::socket socket = acceptor_.accept(error);
         if (error) {
-            return;
+            const bool isNoneWaiting = error == asio::error::would_block || error == asio::error::try_again;
+            return isNoneWaiting || error == asio::error::connection_aborted;
         }
         auto buffered = std::make_shared<BufferedSocket>(std::move(socket), CallerAckTimeout);
         auto connection = std::make_shared<CallerConnection>(std::move(buffered), shared_);
         shared_->connections.insert(connection);
         connection->start();
     }
+    return true;
 }
 
 void CallerServer::announceClose()
@@ -219,6 +237,7 @@
 {
     std::error_code ignored;
     acceptor_.close(ignored);
+    retryTimer_.cancel();
 }
 
 std::uint64_t CallerServer::requestsOfGoneCallers() const
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -12,6 +12,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -104,10 +105,13 @@
     struct SharedState;
 
     void awaitConnections();
-    void acceptWaiting();
+    /** @return false if a connection waits that can't be accepted now. */
+    bool acceptWaiting();
+    void retryLater();
 
     std::shared_ptr<SharedState> shared_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer retryTimer_;
 };
 
 inline const RequestHead &CallerExchange::head() const
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -16,6 +16,9 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <functional>
 #include <memory>
 #include <thread>
@@ -322,6 +325,44 @@
     bool ended_ = false;
 };
 
+/** Takes all descriptors that the process may still open, for as long as it lives. */
+class NoFreeDescriptors
+{
+public:
+    NoFreeDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        const int lowestFree = dup(STDIN_FILENO);
+        close(lowestFree);
+        rlimit none = before_;
+        none.rlim_cur = static_cast<rlim_t>(lowestFree);
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+
+    ~NoFreeDescriptors()
+    {
+        setrlimit(RLIMIT_NOFILE, &before_);
+    }
+
+private:
+    rlimit before_{};
+};
+
+// Guards against an event loop that does nothing but try to accept a connection for which there is no descriptor.
+TEST_F(CallerServerTest, NoDescriptorIsFree_WaitingConnection_IsTriedNowAndThenAndAcceptedLater)
+{
+    run();
+    tcp::socket second(context_);
+    second.connect(tcp::endpoint(asio::ip::address_v4::loopback(), server_.port()));
+    context_.restart();
+    {
+        const NoFreeDescriptors none;
+        EXPECT_LT(context_.run_for(300ms), 20U);
+    }
+    context_.run_for(300ms);
+    EXPECT_EQ(2U, server_.openConnectionCount());
+}
+
 TEST_F(CallerServerTest, RequestWithBody_Arrives_IsDispatchedCompleteAndAnswered)
 {
     send("POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nContent-Length: 5\r\n\r\nhel");
