--- a/tests/serving/askstorm_test.cpp
+++ b/tests/serving/askstorm_test.cpp
@@ -39,6 +39,7 @@
     std::string vm;
     TimePoint busyUntil{};
     TimePoint timerDueAt{1000s};
+    Duration lateness{};
     QuotaCollector collector{QuotaCollectorOptions{}};
     /** Number of the connection to each holder; answers on a former one are lost. */
     std::map<std::size_t, int> connections;
@@ -79,6 +80,38 @@
         now_ = end;
     }
 
+    /** All work of the gateway that comes from now on is done that much later. */
+    void setLateness(std::size_t index, Duration lateness)
+    {
+        nodes_[index]->lateness = lateness;
+    }
+
+    /** The gateway does nothing for that long. */
+    void standStill(std::size_t index, Duration time)
+    {
+        nodes_[index]->busyUntil = now_ + time;
+    }
+
+    std::vector<std::size_t> holdersOf(std::size_t customer) const
+    {
+        std::vector<std::size_t> result;
+        for (const std::string &vm : holders_[customer]) {
+            result.push_back(std::stoul(vm));
+        }
+        return result;
+    }
+
+    /** Of all customers, the smallest fraction of requests admitted of those decided since the last call. */
+    double worstAdmittedFraction()
+    {
+        double worst = 1;
+        for (Verdicts &each : verdicts_) {
+            worst = each.decided == 0 ? worst : std::min(worst, static_cast<double>(each.admitted) / static_cast<double>(each.decided));
+            each = {};
+        }
+        return worst;
+    }
+
     std::uint64_t reconnects() const
     {
         return reconnects_;
@@ -95,6 +128,12 @@
     }
 
 private:
+    struct Verdicts
+    {
+        std::uint64_t decided = 0;
+        std::uint64_t admitted = 0;
+    };
+
     struct Event
     {
         TimePoint at;
@@ -117,7 +156,7 @@
     {
         TimePoint &busyUntil = nodes_[index]->busyUntil;
         busyUntil = std::max(busyUntil, now_) + cost;
-        after(busyUntil - now_, std::move(action));
+        after(busyUntil - now_ + nodes_[index]->lateness, std::move(action));
     }
 
     void onArrival(std::size_t index)
@@ -161,6 +200,9 @@
             }
             for (const QuotaVerdict &verdict : actions.verdicts) {
                 ++decided_;
+                Verdicts &ofCustomer = verdicts_[verdict.request % Customers];
+                ++ofCustomer.decided;
+                ofCustomer.admitted += verdict.result == QuotaVerdict::Result::Admitted ? 1 : 0;
                 admitted_ += verdict.result == QuotaVerdict::Result::Admitted ? 1 : 0;
             }
             hasActions = !actions.verdicts.empty();
@@ -212,6 +254,7 @@
     std::uint64_t reconnects_ = 0;
     std::uint64_t admitted_ = 0;
     std::uint64_t decided_ = 0;
+    std::vector<Verdicts> verdicts_ = std::vector<Verdicts>(Customers);
 };
 
 class AskStormTest : public testing::Test
@@ -247,6 +290,40 @@
     EXPECT_EQ(before, fleet_.reconnects());
 }
 
+// Guards against a customer of whom almost nothing is served (SHORT) because the gateways that hold its limit are late.
+class LateHoldersTest : public testing::TestWithParam<int>
+{
+protected:
+    static constexpr double UsualRate = 10;
+
+    AskingFleet fleet_;
+};
+
+TEST_P(LateHoldersTest, AllHoldersOfOneCustomerAreLate_EachCustomer_IsServed)
+{
+    for (const std::size_t holder : fleet_.holdersOf(0)) {
+        fleet_.setLateness(holder, Milliseconds(GetParam()));
+    }
+    fleet_.run(5s, UsualRate);
+    fleet_.worstAdmittedFraction();
+    fleet_.run(10s, UsualRate);
+    EXPECT_GT(fleet_.worstAdmittedFraction(), 0.9);
+}
+
+INSTANTIATE_TEST_SUITE_P(Milliseconds, LateHoldersTest, testing::Values(100, 200, 300));
+
+// Guards against a gateway that stood still once and is then kept from answering by all others that renew their connections to it.
+TEST_F(AskStormTest, OneGatewayStoodStill_FiveSecondsLater_AllAskItAndAreAnswered)
+{
+    fleet_.standStill(fleet_.holdersOf(0).front(), 7s);
+    fleet_.run(12s, UsualRate);
+    fleet_.worstAdmittedFraction();
+    const auto before = fleet_.reconnects();
+    fleet_.run(5s, UsualRate);
+    EXPECT_GT(fleet_.worstAdmittedFraction(), 0.99);
+    EXPECT_EQ(before, fleet_.reconnects());
+}
+
 }
 
 }
