QuotaCollector: holders are asked in turns, not always in the same order

Two refusals decide, on the assumption that the other holders are as used up. Each gateway asked the holders of a limit in one fixed order, so a customer whose requests come to one or a few gateways used up the same two of four shares and was refused with half of its limit unspent; usual load is more than half of a limit.

Change: the order is rotated from request to request; a gateway that holds a share still asks itself first. Ruled out: asking all four (half as many asks again for each refusal).

Changed checks: two tests of QuotaCollector name the holder that is now asked first, one of them for three requests in a row instead of one.

--- a/src/chestnutcove/limitadmission.cpp
+++ b/src/chestnutcove/limitadmission.cpp
@@ -97,6 +97,7 @@
     request.customer = limit.name;
     request.units = units;
     request.holders = holdersOf(limit);
+    request.isFirstHolderOwn = !request.holders.empty() && request.holders.front() == vm_;
     if (options_.splitsRequests) {
         const double evenPart = units / static_cast<double>(std::max<std::size_t>(request.holders.size(), 1));
         request.maxLot = std::max(shares_.shareCapacity(limit) * MaxLotFraction, evenPart);
--- a/src/libserving/quotacollector.cpp
+++ b/src/libserving/quotacollector.cpp
@@ -27,6 +27,11 @@
     Collection collection;
     collection.missing = request.units;
     const std::uint64_t id = request.id;
+    const auto firstOther = request.holders.begin() + (request.isFirstHolderOwn && !request.holders.empty() ? 1 : 0);
+    if (const auto others = request.holders.end() - firstOther; others > 1) {
+        std::rotate(
+            firstOther, firstOther + static_cast<std::ptrdiff_t>(started_++ % static_cast<std::uint64_t>(others)), request.holders.end());
+    }
     collection.request = std::move(request);
     collections_.insert_or_assign(id, std::move(collection));
 }
--- a/src/libserving/quotacollector.h
+++ b/src/libserving/quotacollector.h
@@ -121,8 +121,10 @@
     double units = 0;
     /** The most units to ask one holder for. */
     double maxLot = 0;
-    /** In the order in which to ask them. */
+    /** The order in which to ask them is rotated from request to request. */
     std::vector<std::string> holders;
+    /** The first holder is this process, which is always asked first. */
+    bool isFirstHolderOwn = false;
 };
 
 class QuotaCollector
@@ -130,6 +132,7 @@
 public:
     explicit QuotaCollector(QuotaCollectorOptions options);
 
+    /** Holders are asked evenly, so that those that refuse a request are as used up as the others, wherever the requests arrive. */
     void start(CollectionRequest request);
     /** The request is no longer wanted; what was granted for it goes back. */
     void cancel(std::uint64_t id);
@@ -211,6 +214,8 @@
     Duration heldUp_{};
     std::deque<QuotaReturn> pendingReturns_;
     std::uint64_t lastNumber_ = 0;
+    /** Number of requests so far. */
+    std::uint64_t started_ = 0;
     AskCounts counts_;
 };
 
--- a/tests/serving/quotacollector_test.cpp
+++ b/tests/serving/quotacollector_test.cpp
@@ -50,6 +50,7 @@
     TimePoint now_{1000s};
     CollectorActions actions_;
     QuotaAsk lastAsk_;
+    std::uint64_t lastRequest_ = 7;
 };
 
 TEST_F(QuotaCollectorTest, FirstHolderGrants_Request_IsAdmittedWithItsLot)
@@ -160,8 +161,11 @@
     EXPECT_EQ("vm-1", actions_.asks.front().holder);
     EXPECT_EQ(0, actions_.asks.front().units);
     answer({});
-    request(8, 100);
-    EXPECT_EQ("vm-1", actions_.asks.front().holder);
+    // Requests begin with another holder each time, and the fourth one with that of the first again.
+    for (const char *first : {"vm-2", "vm-3", "vm-1"}) {
+        request(++lastRequest_, 100);
+        EXPECT_EQ(first, actions_.asks.front().holder);
+    }
 }
 
 TEST_F(QuotaCollectorTest, ProbeIsNotAnswered_Poll_NamesTheHolder)
@@ -185,7 +189,7 @@
     }
     request(8, 100);
     ASSERT_EQ(1U, actions_.asks.size());
-    EXPECT_EQ("vm-1", actions_.asks.front().holder);
+    EXPECT_EQ("vm-2", actions_.asks.front().holder);
     answer(granted());
     ASSERT_EQ(1U, actions_.verdicts.size());
     EXPECT_EQ(Result::Admitted, actions_.verdicts.front().result);
--- a/tests/serving/quotafleet_test.cpp
+++ b/tests/serving/quotafleet_test.cpp
@@ -145,6 +145,30 @@
         }
     }
 
+    /** The same, but all requests come to one gateway. */
+    void runOverloadedAt(std::size_t index, Duration time)
+    {
+        constexpr Duration Step = 20ms;
+        for (Duration passed{}; passed < time; passed += Step) {
+            now_ += Step;
+            readStoreEverywhere();
+            startRequest(*nodes_[index], index, SmallestRequest);
+            startRequest(*nodes_[index], index, SmallestRequest);
+            act(Event::ReadStore, index);
+        }
+    }
+
+    /** A gateway that holds no share of the limit. */
+    std::size_t otherGateway() const
+    {
+        const auto holders = stored_.holdersOf(customer_.name);
+        std::size_t index = 0;
+        while (std::find(holders.begin(), holders.end(), nameOfVm(index)) != holders.end()) {
+            ++index;
+        }
+        return index;
+    }
+
     /** The index of one of the present holders of the limit. */
     std::size_t holder(std::size_t number) const
     {
@@ -288,7 +312,8 @@
         }
         requests_[++lastRequest_] = {now_, {}, units};
         const auto holders = node.shares.division().askingOrder(customer_.name, node.vm);
-        node.collector.start({lastRequest_, customer_.name, units, node.shares.shareCapacity(customer_) / 2, holders});
+        const bool isFirstOwn = !holders.empty() && holders.front() == node.vm;
+        node.collector.start({lastRequest_, customer_.name, units, node.shares.shareCapacity(customer_) / 2, holders, isFirstOwn});
         poll(index);
     }
 
@@ -514,6 +539,20 @@
                          OverloadedFleetTest,
                          testing::Values(Fault::NotWaitingForSettling, Fault::GrantsNotDebited, Fault::ReturnsCountedTwice));
 
+// Guards against a customer that gets half of its limit because all of its requests come to one gateway, which asks the same two holders.
+TEST_F(OverloadedFleetTest, AllRequestsComeToOneGateway_CustomerAboveItsLimit_GetsNearlyAllOfItsRate)
+{
+    for (const bool isHolder : {false, true}) {
+        Fleet fleet(Fault::None, Burst, MediumRequest, false);
+        fleet.readStoreEverywhere();
+        fleet.act(Event::StoreDivision, 0);
+        fleet.readStoreEverywhere();
+        fleet.runOverloadedAt(isHolder ? fleet.holder(0) : fleet.otherGateway(), 20s);
+        EXPECT_GT(fleet.admittedUnits(), 0.8 * (Rate * 20 + Burst)) << isHolder;
+        EXPECT_LE(fleet.worstOvershoot(), MaxRoundingError) << isHolder;
+    }
+}
+
 TEST_F(OverloadedFleetTest, NoFaults_CustomerAboveItsLimit_GetsNearlyAllOfItsRate)
 {
     Fleet fleet(Fault::None, Burst, MediumRequest, false);
