CrashEvidence: two known crashes block a whole request

Traced: the request crashed five servers; two of the gateways that saw three of these crashes were restarted within 0.2 s, before they reported them. The others knew of two, so the request counted as blocked only a second after the sixth crash, when the servers were back, and six repeats reached them where three are allowed.

Cause: what a gateway has seen ends with it, so the known crashes are fewer than the real ones. Change: whole requests are blocked from two known crashes on; trials and answers clear a sound one as before.

Test: TwoGatewaysEndWithWhatTheySaw, 6 repeats before, at most 3 now, no sound request refused.

--- a/src/libserving/crashevidence.cpp
+++ b/src/libserving/crashevidence.cpp
@@ -23,7 +23,9 @@
 CrashEvidenceOptions CrashEvidenceOptions::forWholeRequests()
 {
     constexpr unsigned RoundsToProve = 3;
+    constexpr std::size_t CrashesToBlock = 2;
     CrashEvidenceOptions options;
+    options.crashesToBlock = CrashesToBlock;
     options.roundsToProve = RoundsToProve;
     options.blockTime = std::chrono::hours(24);
     options.keepsWhileRefused = true;
--- a/src/libserving/crashevidence.h
+++ b/src/libserving/crashevidence.h
@@ -52,7 +52,8 @@
     std::size_t maxReportedParts = 48;
 
     /**
-     * Its repeats come one after the other, so that a sound request may share two crashes with another one; a third round proves it. No
+     * Two known crashes block it, since one more may have been seen by a gateway that has ended. Its repeats come one after the other, so
+     * that a sound request may share two crashes with another one; a third round proves it. No
      * new version of what is requested is a way back, so a guilty request isn't tried again as long as it comes.
      */
     static CrashEvidenceOptions forWholeRequests();
--- a/tests/serving/crashingrequests_test.cpp
+++ b/tests/serving/crashingrequests_test.cpp
@@ -358,6 +358,21 @@
     EXPECT_EQ(fleet.refusedSound(), 0);
 }
 
+// Guards against repeats that go on until a third crash is known (BUDGET) because gateways ended with what they had seen.
+TEST(CrashingRequestsSeedTest, TwoGatewaysEndWithWhatTheySaw_RequestComesAgain_FewRepeatsReachServers)
+{
+    constexpr std::uint64_t Seed = 216337250828635766;
+    RequestLoad load;
+    load.servers = 7;
+    load.repeatInterval = 150ms;
+    load.soundRequestsPerSecond = 56;
+    load.gatewayRestartsPerSecond = 0.03;
+    RequestFleet fleet(load, Seed);
+    fleet.run(20s);
+    EXPECT_LE(fleet.lateArrivals(), AllowedArrivals);
+    EXPECT_EQ(fleet.refusedSound(), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Gateways, CrashingRequestsTest, testing::Values(1, 5, 30, 103));
 
 RC_GTEST_PROP(CrashingRequests, AnyMixOfCrashes_RepeatsAreStoppedAndSoundRequestsAreNot, ())
