--- a/tests/program/linkreconnect_test.cpp
+++ b/tests/program/linkreconnect_test.cpp
@@ -56,7 +56,12 @@
     asio::io_context context_;
     LinkKeys keys_ = *generateLinkKeys();
     LinkContext links_{context_, keys_, {keys_.publicKey}};
-    LinkServer server_{links_, [this](const LinkServer::PeerId &peer, const wire::Envelope &message) { server_.send(peer, message); }};
+    LinkServer server_{links_, [this](const LinkServer::PeerId &peer, const wire::Envelope &message) {
+                           peers_.push_back(peer);
+                           server_.send(peer, message);
+                       }};
+    /** The connection of each message that the server got. */
+    std::vector<LinkServer::PeerId> peers_;
     int answers_ = 0;
 };
 
@@ -69,12 +74,17 @@
     EXPECT_TRUE(isAnswered(*client));
 }
 
-TEST_F(LinkReconnectTest, LinkHasWorked_Reconnect_LinkWorksAgain)
+TEST_F(LinkReconnectTest, LinkHasWorked_Reconnect_AllFurtherMessagesTakeTheNewConnection)
 {
     const auto client = makeClient();
     EXPECT_TRUE(isAnswered(*client));
     client->reconnect();
-    EXPECT_TRUE(isAnswered(*client));
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_TRUE(isAnswered(*client));
+    }
+    ASSERT_EQ(5U, peers_.size());
+    EXPECT_NE(peers_[0], peers_[1]);
+    EXPECT_EQ(std::vector<LinkServer::PeerId>(4, peers_[1]), std::vector<LinkServer::PeerId>(peers_.begin() + 1, peers_.end()));
 }
 
 TEST_F(LinkReconnectTest, MoreLinksThanSockets_FurtherLinks_RejectMessagesAndProcessGoesOn)
