TestProcess: show the log of a process that writes it to its standard output

Cause: with CHESTNUTCOVE_TEST_LOG the standard error of processes was shown, but the gateway on the platform's role logs to its standard output, of which only the first line was read. So a refused order in a test couldn't be explained. Ruled out: a log file of its own, which would be another path than the one in use. Change: with that variable a thread copies what follows the first line to standard error; without it nothing changes.

--- a/tests/processes/testprocess.cpp
+++ b/tests/processes/testprocess.cpp
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -28,6 +29,15 @@
     return size * count;
 }
 
+void copyToStandardError(int descriptor)
+{
+    std::array<char, 4096> buffer{};
+    ssize_t size = 0;
+    while ((size = read(descriptor, buffer.data(), buffer.size())) > 0) {
+        std::cerr.write(buffer.data(), size);
+    }
+}
+
 nlohmann::json newLinkKeys()
 {
     const auto keys = generateLinkKeys();
@@ -79,11 +89,17 @@
     }
     output_ = out[0];
     ports_ = nlohmann::json::parse(line, nullptr, false);
+    if (verbose) {
+        outputCopier_ = std::jthread([descriptor = output_] { copyToStandardError(descriptor); });
+    }
 }
 
 TestProcess::~TestProcess()
 {
     kill();
+    if (outputCopier_.joinable()) {
+        outputCopier_.join();
+    }
     if (output_ >= 0) {
         close(output_);
     }
--- a/tests/processes/testprocess.h
+++ b/tests/processes/testprocess.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace Chestnutcove {
@@ -42,8 +43,10 @@
     void start(const std::vector<std::string> &command);
 
     pid_t pid_ = -1;
-    /** Read end of the process's standard output; only the first line is read. */
+    /** Read end of the process's standard output. Only the first line is read, unless the log is to be shown. */
     int output_ = -1;
+    /** Shows the log of a process that writes it to its standard output. It ends with the process. */
+    std::jthread outputCopier_;
     nlohmann::json ports_;
 };
 
