Router: count the prompts that an endpoint still has to read

What callers saw: first tokens late behind other callers' long prompts, while other endpoints read none. Cause: the predicted time counted a wait only where all slots are in use; prompts are read one after the other also where slots are free. Change: sidecars report the time that prompts of running requests still take (PrefillBacklog, a field of the load message that older processes leave out); the router adds its dispatches since then and subtracts the time that passed. Of the two router tests each failed with the prediction as it was.

--- a/bench/policyreplay.cpp
+++ b/bench/policyreplay.cpp
@@ -456,12 +456,22 @@
             firstToken_[index] = first;
             engine.promptTotal += uncached;
             startedRequests_ += 1;
+            scheduleAt(first,
+                       [this, id = *id, name = engine.entry.name, generation = engine.generation] { onAnswerBegun(id, name, generation); });
             scheduleAt(last, [this, index, id = *id, name = engine.entry.name, generation = engine.generation] {
                 onAnswerFinished(index, id, name, generation);
             });
         }
     }
 
+    void onAnswerBegun(const RequestId &id, const std::string &name, std::uint64_t generation)
+    {
+        EngineModel &engine = engineOf(name);
+        if (generation == engine.generation) {
+            engine.dispatcher->onAnswerBegun(id, now_);
+        }
+    }
+
     void onAnswerFinished(std::size_t index, const RequestId &id, const std::string &name, std::uint64_t generation)
     {
         EngineModel &engine = engineOf(name);
@@ -545,6 +555,7 @@
             load.slots = engine.dispatcher->slots();
             load.queuedSeconds = engine.dispatcher->queuedCost();
             load.runningSeconds = engine.dispatcher->runningCost();
+            load.prefillSeconds = engine.dispatcher->prefillSeconds(now_);
             load.prefillTokensPerSecond = trace_.prefillTokensPerSecond * scale_ * speedFactor(engine, true);
             load.decodeTokensPerSecond = trace_.decodeTokensPerSecond * speedFactor(engine, false);
             load.draining = engine.pendingRole.has_value() || engine.availableAt > now_;
--- a/src/chestnutcove/endpointlinks.cpp
+++ b/src/chestnutcove/endpointlinks.cpp
@@ -27,6 +27,7 @@
     result.slots = load.slots();
     result.queuedSeconds = load.queued_seconds();
     result.runningSeconds = load.running_seconds();
+    result.prefillSeconds = load.prefill_seconds();
     result.prefillTokensPerSecond = load.prefill_tokens_per_second();
     result.decodeTokensPerSecond = load.decode_tokens_per_second();
     result.draining = load.draining();
--- a/src/chestnutcove/gateway.cpp
+++ b/src/chestnutcove/gateway.cpp
@@ -532,6 +532,7 @@
                         {"running", endpoint.load.running},
                         {"slots", endpoint.load.slots},
                         {"queuedSeconds", endpoint.load.queuedSeconds},
+                        {"prefillSeconds", endpoint.load.prefillSeconds},
                         {"prefillTokensPerSecond", endpoint.load.prefillTokensPerSecond},
                         {"decodeTokensPerSecond", endpoint.load.decodeTokensPerSecond},
                         {"cachedBlocks", endpoint.blocks.size()}});
--- a/src/chestnutcove/sidecar.cpp
+++ b/src/chestnutcove/sidecar.cpp
@@ -327,6 +327,7 @@
     TrackedRequest &request = it->second;
     if (request.outputTokens == 0) {
         request.firstTokenAt = suspendAwareNow();
+        dispatcher_.onAnswerBegun(id, request.firstTokenAt);
     }
     for (const EndpointEvent &event : events) {
         request.outputTokens += event.tokens;
@@ -570,6 +571,7 @@
     load.set_queued(dispatcher_.queued());
     load.set_queued_seconds(dispatcher_.queuedCost());
     load.set_running_seconds(dispatcher_.runningCost());
+    load.set_prefill_seconds(dispatcher_.prefillSeconds(suspendAwareNow()));
     load.set_running(dispatcher_.running());
     load.set_running_tokens(static_cast<std::uint64_t>(std::max(0.0, dispatcher_.runningTokens())));
     load.set_prefill_tokens_per_second(dispatcher_.prefillTokensPerSecond());
@@ -607,6 +609,7 @@
             {"queue",
              {{"queued", dispatcher_.queued()},
               {"queuedSeconds", dispatcher_.queuedCost()},
+              {"prefillSeconds", dispatcher_.prefillSeconds(now)},
               {"running", dispatcher_.running()},
               {"slots", dispatcher_.slots()},
               {"remembered", dispatcher_.recordCount()},
--- a/src/libdelivery/dispatcher.cpp
+++ b/src/libdelivery/dispatcher.cpp
@@ -84,7 +84,6 @@
 
 std::optional<RequestId> Dispatcher::dispatch(TimePoint now)
 {
-    (void)now;
     if (running_ >= options_.slots || !healthy_) {
         return std::nullopt;
     }
@@ -99,9 +98,15 @@
     ++running_;
     runningTokens_ += expectedTokens(record.request);
     runningCost_ += record.cost;
+    prefillBacklog_.add(id, record.request.promptTokens, now);
     return id;
 }
 
+void Dispatcher::onAnswerBegun(const RequestId &id, TimePoint now)
+{
+    prefillBacklog_.remove(id, now);
+}
+
 void Dispatcher::onFinished(const RequestId &id, double promptTokens, double outputTokens, TimePoint now)
 {
     const auto it = records_.find(id);
@@ -109,6 +114,7 @@
         return;
     }
     const SubmittedRequest &request = it->second.request;
+    prefillBacklog_.remove(id, now);
     --running_;
     runningTokens_ = running_ == 0 ? 0 : runningTokens_ - expectedTokens(request);
     runningCost_ = running_ == 0 ? 0 : runningCost_ - it->second.cost;
--- a/src/libdelivery/dispatcher.h
+++ b/src/libdelivery/dispatcher.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "fairqueue.h"
+#include "prefillbacklog.h"
 #include "requestid.h"
 #include "tickclock.h"
 
@@ -102,6 +103,8 @@
     SubmitDecision submit(const SubmittedRequest &request, TimePoint now);
     /** Marks the next queued request as running and returns it; empty if none is queued, no slot is free or the endpoint is unhealthy. */
     std::optional<RequestId> dispatch(TimePoint now);
+    /** The endpoint has begun the answer of a dispatched request, so it has read the prompt. */
+    void onAnswerBegun(const RequestId &id, TimePoint now);
     /** The endpoint completed or failed a dispatched request. */
     void onFinished(const RequestId &id, double promptTokens, double outputTokens, TimePoint now);
     /**
@@ -125,6 +128,8 @@
     /** Endpoint seconds that the queued requests, or the running ones, are expected to take. */
     double queuedCost() const;
     double runningCost() const;
+    /** Expected time until the endpoint has read the prompts of all running requests, in seconds. */
+    double prefillSeconds(TimePoint now) const;
     std::size_t running() const;
     double runningTokens() const;
     std::size_t slots() const;
@@ -169,6 +174,7 @@
     std::size_t running_ = 0;
     double runningTokens_ = 0;
     double runningCost_ = 0;
+    PrefillBacklog prefillBacklog_;
     bool draining_ = false;
     bool healthy_ = true;
 };
@@ -208,6 +214,11 @@
     return runningCost_;
 }
 
+inline double Dispatcher::prefillSeconds(TimePoint now) const
+{
+    return prefillBacklog_.seconds(options_.prefillTokensPerSecond, now);
+}
+
 inline std::size_t Dispatcher::running() const
 {
     return running_;
--- a/src/librouting/router.cpp
+++ b/src/librouting/router.cpp
@@ -20,6 +20,18 @@
     std::size_t cachedBlocks = 0;
 };
 
+/** Time to read the part of the prompt that isn't cached. */
+double prefillSeconds(const EndpointLoad &load, const RouteQuery &query, std::size_t cachedBlocks)
+{
+    const double cachedTokens = static_cast<double>(cachedBlocks * TokensPerBlock);
+    return std::max(0.0, query.promptTokens - cachedTokens) / std::max(load.prefillTokensPerSecond, 1.0);
+}
+
+void addPrefill(Router::Endpoint &endpoint, const Router::Endpoint::Dispatch &dispatch)
+{
+    endpoint.prefillFreeAt = std::max(endpoint.prefillFreeAt, dispatch.at) + fromSeconds(dispatch.prefillSeconds);
+}
+
 std::string affinityKey(const RouteQuery &query)
 {
     return query.blocks.empty() ? std::string() : query.serves + "/" + std::to_string(query.blocks.front());
@@ -68,6 +80,10 @@
     endpoint.reportedAt = now;
     std::erase_if(endpoint.unreportedDispatches,
                   [dispatchesIncluded](const auto &dispatch) { return dispatch.number <= dispatchesIncluded; });
+    endpoint.prefillFreeAt = now + fromSeconds(load.prefillSeconds);
+    for (const auto &dispatch : endpoint.unreportedDispatches) {
+        addPrefill(endpoint, dispatch);
+    }
 }
 
 void Router::updateCachedBlocks(const std::string &name,
@@ -109,7 +125,7 @@
     return std::find(query.excluded.begin(), query.excluded.end(), endpoint.entry.name) == query.excluded.end();
 }
 
-Duration Router::predictFirstTokenTime(const Endpoint &endpoint, const RouteQuery &query, std::size_t cachedBlocks) const
+Duration Router::predictFirstTokenTime(const Endpoint &endpoint, const RouteQuery &query, std::size_t cachedBlocks, TimePoint now) const
 {
     const EndpointLoad &load = endpoint.load;
     const double slots = static_cast<double>(std::max<std::uint64_t>(load.slots, 1));
@@ -124,8 +140,8 @@
         // Prefers the emptier of the endpoints that have free slots, since a fuller batch answers slower.
         seconds = inFlight / slots / std::max(load.decodeTokensPerSecond, 1.0);
     }
-    const double cachedTokens = static_cast<double>(cachedBlocks * TokensPerBlock);
-    seconds += std::max(0.0, query.promptTokens - cachedTokens) / std::max(load.prefillTokensPerSecond, 1.0);
+    // While the request waits for a slot, the endpoint reads the prompts before it.
+    seconds = std::max(seconds, toSeconds(endpoint.prefillFreeAt - now)) + prefillSeconds(load, query, cachedBlocks);
     Duration predicted = fromSeconds(seconds);
     if (endpoint.entry.dataCentre != options_.dataCentre) {
         predicted += options_.otherDataCentrePenalty;
@@ -165,7 +181,7 @@
             continue;
         }
         const std::size_t cached = cachedPrefixBlocks(*endpoint, query.blocks);
-        const Candidate candidate{endpoint, predictFirstTokenTime(*endpoint, query, cached), cached};
+        const Candidate candidate{endpoint, predictFirstTokenTime(*endpoint, query, cached, now), cached};
         if (best.endpoint == nullptr || candidate.predicted < best.predicted) {
             best = candidate;
         }
@@ -195,7 +211,6 @@
 
 std::uint64_t Router::recordDispatch(const std::string &name, const RouteQuery &query, TimePoint now)
 {
-    (void)now;
     const auto it = endpoints_.find(name);
     if (it == endpoints_.end()) {
         return 0;
@@ -203,9 +218,14 @@
     Endpoint &endpoint = it->second;
     const EndpointLoad &load = endpoint.load;
     const double totalDecodeTokensPerSecond = load.decodeTokensPerSecond * static_cast<double>(std::max<std::uint64_t>(load.slots, 1));
-    const double seconds
+    Endpoint::Dispatch dispatch;
+    dispatch.number = ++endpoint.lastDispatchNumber;
+    dispatch.at = now;
+    dispatch.seconds
         = query.promptTokens / std::max(load.prefillTokensPerSecond, 1.0) + query.outputTokens / std::max(totalDecodeTokensPerSecond, 1.0);
-    endpoint.unreportedDispatches.push_back({++endpoint.lastDispatchNumber, seconds});
+    dispatch.prefillSeconds = prefillSeconds(load, query, cachedPrefixBlocks(endpoint, query.blocks));
+    addPrefill(endpoint, dispatch);
+    endpoint.unreportedDispatches.push_back(dispatch);
     return endpoint.lastDispatchNumber;
 }
 
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -26,6 +26,8 @@
     /** Seconds of the endpoint that the queued and the running requests are expected to take. */
     double queuedSeconds = 0;
     double runningSeconds = 0;
+    /** Seconds until the endpoint has read the prompts of the requests that it runs. Prompts are read one after the other. */
+    double prefillSeconds = 0;
     double prefillTokensPerSecond = 8000;
     double decodeTokensPerSecond = 40;
     bool draining = false;
@@ -110,17 +112,21 @@
         {
             std::uint64_t number = 0;
             double seconds = 0;
+            TimePoint at;
+            double prefillSeconds = 0;
         };
         /** Dispatches of this gateway that the last report does not include yet. */
         std::vector<Dispatch> unreportedDispatches;
         std::uint64_t lastDispatchNumber = 0;
+        /** When the endpoint will have read the prompts of all reported requests and unreported dispatches. */
+        TimePoint prefillFreeAt;
         std::unordered_set<std::uint64_t> blocks;
     };
     const std::map<std::string, Endpoint> &endpoints() const;
 
 private:
     bool isCandidate(const Endpoint &endpoint, const RouteQuery &query, TimePoint now) const;
-    Duration predictFirstTokenTime(const Endpoint &endpoint, const RouteQuery &query, std::size_t cachedBlocks) const;
+    Duration predictFirstTokenTime(const Endpoint &endpoint, const RouteQuery &query, std::size_t cachedBlocks, TimePoint now) const;
     std::size_t cachedPrefixBlocks(const Endpoint &endpoint, const std::vector<std::uint64_t> &blocks) const;
 
     RouterOptions options_;
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -43,6 +43,16 @@
         router_.updateLoad(name, load, 0, now_);
     }
 
+    void reportPrefill(const std::string &name, std::uint64_t running, double prefillSeconds)
+    {
+        EndpointLoad load;
+        load.running = running;
+        load.slots = 4;
+        load.prefillSeconds = prefillSeconds;
+        load.healthy = true;
+        router_.updateLoad(name, load, 0, now_);
+    }
+
     RouteQuery query(std::vector<std::uint64_t> blocks = {}) const
     {
         return {"chat-vi", 1000, 100, std::move(blocks), {}};
@@ -72,6 +82,37 @@
     }
 }
 
+// Guards against requests that wait for other prompts at an endpoint, because it has free slots, while another endpoint reads none.
+TEST_F(RouterTest, EmptiestEndpointReadsPrompts_Request_GoesToOneThatReadsNone)
+{
+    reportPrefill("chat-1", 1, 0.5);
+    reportPrefill("chat-2", 3, 0);
+    reportPrefill("chat-3", 2, 0.2);
+    EXPECT_EQ(router_.choose(query(), now_)->endpoint, "chat-2");
+    now_ += 400ms;
+    EXPECT_EQ(router_.choose(query(), now_)->endpoint, "chat-3");
+    now_ += 400ms;
+    EXPECT_EQ(router_.choose(query(), now_)->endpoint, "chat-1");
+}
+
+TEST_F(RouterTest, LongPromptIsDispatched_NoReportSince_CountsUntilItIsRead)
+{
+    reportPrefill("chat-2", 1, 0);
+    reportPrefill("chat-3", 2, 0);
+    RouteQuery longPrompt = query();
+    longPrompt.promptTokens = 8000;
+    const std::string first = router_.choose(longPrompt, now_)->endpoint;
+    EXPECT_EQ(first, "chat-1");
+    router_.recordDispatch(first, longPrompt, now_);
+    router_.recordDispatch(first, query(), now_);
+    router_.recordDispatch("chat-2", query(), now_);
+    EXPECT_EQ(router_.choose(query(), now_)->endpoint, "chat-3");
+    router_.recordDispatch("chat-3", query(), now_);
+    EXPECT_EQ(router_.choose(query(), now_)->endpoint, "chat-2");
+    now_ += 1200ms;
+    EXPECT_NE(router_.choose(query(), now_)->endpoint, "chat-3");
+}
+
 TEST_F(RouterTest, PrefixIsCached_ItsEndpointIsPreferredUntilLoaded)
 {
     router_.updateCachedBlocks("chat-3", false, {11, 12, 13}, {});
