test.sh: print KNOWN-RED.txt also where it names no test

Cause: the page was printed only beside a run of its tests; with no test left on it, its cases were no longer shown. Ruled out: nothing else reads the page. Change: it is printed in each case.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -48,8 +48,8 @@
 
 # Tests that show a known fault run too, but don't decide the verdict; KNOWN-RED.txt says why.
 known=$(sed -n 's/^test: \([^ |]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|')
+cat KNOWN-RED.txt
 if [ -n "$known" ]; then
-    cat KNOWN-RED.txt
     ctest --test-dir "$build" --timeout 300 -R "^($known)\$" || true
 fi
 ctest --test-dir "$build" --output-on-failure --timeout 300 --parallel 4 -E "^(${known:-none})\$"
