EndpointDirectory: endpoints that leave together aren't used beyond their drain time

Cause: entries that vanish together are taken for ones that expired in an outage which this process didn't see, and were retained for the time in which servers register again, 2.2 s, longer than servers that left continue to serve. Ruled out: telling the two apart by whether the store's answers were fresh. A poll is held for 2 s; an outage that is shorter than that, and in which entries expire, leaves the same trace as a poll without news. Change: without an outage that was seen, such entries are retained for three quarters of the drain time of the settings (1.5 s). Within it servers register again after an outage as before; what comes back later is used again from then on.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -93,7 +93,7 @@
     , httpClient_(context.get_executor(), MaxStoreConnectionAge)
     , table_(httpClient_, storeOptions())
     , configurationFreshness_(settings_.keyRevocation - RevocationMargin)
-    , directory_(EndpointDirectoryOptions{})
+    , directory_({.drainTime = settings.drainDelay})
     , placement_(PlacementOptions{}, loads_)
     , pool_(context, EndpointPoolOptions{})
     , quotaLinks_(context, log)
--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -37,10 +37,10 @@
 
 void EndpointDirectory::onEntriesMissing(const std::vector<std::string> &ids, TimePoint now)
 {
-    // So many endpoints don't stop at once: their entries have expired, as during a store outage that this process did not see.
-    const bool haveExpired = ids.size() > 1 && ids.size() * 2 >= entries_.size();
-    if (haveExpired && !storeRecoveredAt_) {
-        storeRecoveredAt_ = now;
+    // The entries may have expired during a store outage that this process didn't see, since a poll was held for as long.
+    const bool mayHaveExpired = ids.size() > 1 && ids.size() * 2 >= entries_.size();
+    if (mayHaveExpired && !reregistrationUntil_) {
+        reregistrationUntil_ = now + unseenOutageRetention();
     }
     for (const auto &id : ids) {
         onEntryMissing(id, now);
@@ -107,14 +107,21 @@
         it->second.retainedUntil = TimePoint::max();
         return;
     }
-    const bool recentlyRecovered = storeRecoveredAt_ && now - *storeRecoveredAt_ < options_.reregistrationTime;
-    if (recentlyRecovered && !it->second.isDraining()) {
-        it->second.retainedUntil = *storeRecoveredAt_ + options_.reregistrationTime;
+    const bool mayRegisterAgain = reregistrationUntil_ && now < *reregistrationUntil_;
+    if (mayRegisterAgain && !it->second.isDraining()) {
+        it->second.retainedUntil = reregistrationUntil_;
         return;
     }
     remove(it, now);
 }
 
+Duration EndpointDirectory::unseenOutageRetention() const
+{
+    // They may as well have left, and then serve for the drain time. A request that is sent in its last part would come too late.
+    constexpr double UsablePart = 0.75;
+    return std::min(options_.reregistrationTime, std::chrono::duration_cast<Duration>(options_.drainTime * UsablePart));
+}
+
 void EndpointDirectory::remove(std::map<std::string, Entry>::iterator entry, TimePoint now)
 {
     removedRuns_.emplace_back(entry->second.record, now);
@@ -130,10 +137,10 @@
 void EndpointDirectory::onStoreRecovered(TimePoint now)
 {
     isStoreLost_ = false;
-    storeRecoveredAt_ = now;
+    reregistrationUntil_ = now + options_.reregistrationTime;
     for (auto &[id, entry] : entries_) {
         if (entry.retainedUntil) {
-            entry.retainedUntil = now + options_.reregistrationTime;
+            entry.retainedUntil = reregistrationUntil_;
         }
     }
 }
@@ -161,8 +168,8 @@
         }
     }
     std::erase_if(removedRuns_, [&](const auto &item) { return now - item.second >= options_.removedRunMemory; });
-    if (storeRecoveredAt_ && now - *storeRecoveredAt_ >= options_.reregistrationTime) {
-        storeRecoveredAt_.reset();
+    if (reregistrationUntil_ && now >= *reregistrationUntil_) {
+        reregistrationUntil_.reset();
     }
     return std::exchange(endedRuns_, {});
 }
--- a/src/libserving/endpointdirectory.h
+++ b/src/libserving/endpointdirectory.h
@@ -20,6 +20,8 @@
 {
     /** Time after the store's recovery within which every running endpoint has registered again. */
     Duration reregistrationTime = std::chrono::milliseconds(2200);
+    /** Time for which endpoints whose entry was removed without a notice continue to serve. */
+    Duration drainTime = std::chrono::milliseconds(2000);
     /** A run that was removed is not taken from an older copy of the store for this long; by then it is gone there too. */
     Duration removedRunMemory = std::chrono::seconds(30);
 };
@@ -73,6 +75,8 @@
     };
 
     void onEntryMissing(const std::string &id, TimePoint now);
+    /** For how long entries are retained that may have expired in an outage which this process didn't see. */
+    Duration unseenOutageRetention() const;
     /** The entry of this run of the endpoint, or null. */
     Entry *findRun(const EndpointRecord &record);
     void remove(std::map<std::string, Entry>::iterator entry, TimePoint now);
@@ -83,7 +87,8 @@
     std::map<std::string, Entry> entries_;
     std::vector<EndpointRecord> endedRuns_;
     bool isStoreLost_ = false;
-    std::optional<TimePoint> storeRecoveredAt_;
+    /** Until when endpoints whose entry is missing may still register again; empty outside such a time. */
+    std::optional<TimePoint> reregistrationUntil_;
     std::optional<TimePoint> storeRestoredAt_;
     /** Runs that were removed, and when. */
     std::vector<std::pair<EndpointRecord, TimePoint>> removedRuns_;
--- a/tests/serving/endpointdirectory_test.cpp
+++ b/tests/serving/endpointdirectory_test.cpp
@@ -106,14 +106,31 @@
     EXPECT_EQ(usableCount(), 1U) << "endpoints that did not register again are removed";
 }
 
-TEST_F(EndpointDirectoryTest, AllEntriesMissingAtOnce_NoOutageSeen_AreRetainedUntilReregistrationTime)
+TEST_F(EndpointDirectoryTest, AllEntriesMissingAtOnce_NoOutageSeen_AreRetainedAndMayRegisterAgain)
 {
     directory_.replaceAll({record("a"), record("b"), record("c")}, now_);
     now_ += 1s;
     directory_.replaceAll({}, now_);
     EXPECT_EQ(usableCount(), 3U);
-    now_ += 3s;
-    EXPECT_EQ(usableCount(), 0U);
+    now_ += 1s;
+    directory_.onRegistered(record("a"));
+    now_ += 2s;
+    EXPECT_EQ(usableCount(), 1U);
+}
+
+// Guards against requests to endpoints that left together and end after the drain time, because their leaving is taken for an outage
+// (DRAIN).
+TEST_F(EndpointDirectoryTest, HalfOfAllEndpointsLeaveAtOnce_DrainTimeEnds_AreNotUsableAnyMore)
+{
+    constexpr Duration LongestDelivery = 250ms;
+    directory_.replaceAll({record("a"), record("b"), record("c"), record("d")}, now_);
+    now_ += 1s;
+    directory_.onEntriesMissing({"a", "b"}, now_);
+    now_ += 700ms;
+    directory_.onEntriesMissing({"c"}, now_);
+    now_ += EndpointDirectoryOptions{}.drainTime - 700ms - LongestDelivery;
+    EXPECT_EQ(usableCount(), 1U);
+    EXPECT_TRUE(directory_.isUsable(record("d"), now_));
 }
 
 TEST_F(EndpointDirectoryTest, EndpointRestartsWithSameId_Registered_FormerRunHasEnded)
