MessageParser, CallerConnection: a bound on heads holds for complete ones too

What callers saw: a request whose head exceeds max_header_bytes got 431 or was passed on, depending on how the network cut it. Cause: the size of a head was compared with its bound only while the head was incomplete; in the last piece bytes of the body counted too. Ruled out: comparing the bytes of that piece, which hold the body. Change: a complete head has the size of its start line and fields, and is compared then, for requests and responses.

--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -117,7 +117,7 @@
         sendErrorAndClose(parser_.isHeadTooLong() ? HeadTooLarge : BadRequest);
         return;
     }
-    if (limits.headerBytes > 0 && parser_.state() == MessageParser::State::Head && parser_.headBytes() > limits.headerBytes) {
+    if (limits.headerBytes > 0 && parser_.headBytes() > limits.headerBytes) {
         sendErrorAndClose(HeadTooLarge);
         return;
     }
--- a/src/libproxy/messageparser.cpp
+++ b/src/libproxy/messageparser.cpp
@@ -24,6 +24,17 @@
     return field.name.find_first_of(InvalidInNames) != std::string::npos;
 }
 
+/** Size of the head as it is usually written; spaces around values and folded lines don't count. */
+std::size_t textSize(const HeaderFields &fields, std::size_t startLine)
+{
+    constexpr std::size_t Separators = std::string_view(": \r\n").size();
+    std::size_t size = startLine;
+    for (const HeaderField &field : fields) {
+        size += field.name.size() + field.value.size() + Separators;
+    }
+    return size;
+}
+
 /** Raises http_parser's built-in limit; the users of this class apply their own limit to headBytes() of requests. */
 constexpr std::uint32_t MaxRequestHeadBytes = 1 << 20;
 constexpr std::size_t MaxResponseHeadBytes = std::size_t{64} * 1024;
@@ -63,7 +74,7 @@
     }
     const bool inHead = state_ == State::Head;
     const std::size_t used = http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
-    if (inHead) {
+    if (inHead && state_ == State::Head) {
         headBytes_ += used;
     }
     const auto error = HTTP_PARSER_ERRNO(&parser_);
@@ -154,6 +165,12 @@
         message.response_.status = static_cast<int>(parser->status_code);
     }
     message.state_ = State::Body;
+    const std::size_t startLine = message.type_ == Type::Request ? message.request_.target.size() : message.response_.reason.size();
+    message.headBytes_ = textSize(fields, startLine);
+    if (message.type_ == Type::Response && message.headBytes_ > MaxResponseHeadBytes) {
+        message.isHeadTooLong_ = true;
+        return Fail;
+    }
     const bool chunked = (parser->flags & F_CHUNKED) != 0;
     const bool hasLength = parser->content_length != std::numeric_limits<std::uint64_t>::max();
     if (!chunked && hasLength) {
--- a/src/libproxy/messageparser.h
+++ b/src/libproxy/messageparser.h
@@ -73,7 +73,7 @@
     /** The body's length as stated by the head, or nothing. */
     std::optional<std::uint64_t> contentLength() const;
     bool keepsAlive() const;
-    /** Number of bytes of the head that were parsed so far. */
+    /** Number of bytes of the head that were parsed so far; of a complete head, those of its fields and its target or reason. */
     std::size_t headBytes() const;
     /** The parser failed because the head has too many bytes or fields. */
     bool isHeadTooLong() const;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -474,6 +474,14 @@
     EXPECT_TRUE(received_.starts_with("HTTP/1.1 431"));
 }
 
+// Guards against a limit that holds only for heads which arrive in several pieces.
+TEST_F(CallerServerTest, HeadTooLargeArrivesAtOnceAndWhole_Request_IsRefused)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(300, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(exchanges_.empty());
+    EXPECT_TRUE(received_.starts_with("HTTP/1.1 431")) << received_;
+}
+
 // Guards against heads of many short fields, which take more memory than their bytes.
 TEST_F(CallerServerTest, HeadHasTooManyFields_Request_IsRefused)
 {
