EndpointLoads, PlacementPolicy: forget endpoints that are gone

Cause: answers of calls that were in flight when their endpoint was dropped record its load and its cached parts anew. Ruled out: a removal that isn't called; each ended run is named once. Change: each 10 s what is known of endpoints outside the directory, and without calls, is forgotten. A load with a call in flight is kept until the call ends.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -37,6 +37,8 @@
 /** Bytes of a rejected write's answer that are logged. */
 constexpr std::size_t MaxLoggedAnswer = 200;
 constexpr Milliseconds SweepInterval{200};
+/** Time between two searches for what is left of endpoints that are gone. */
+constexpr Milliseconds ForgetInterval{10000};
 /** Keys are accepted only while the last confirmed read is younger than the bound of key revocation minus this margin. */
 constexpr Milliseconds RevocationMargin{700};
 constexpr Milliseconds NotReadyRetryAfter{300};
@@ -241,6 +243,7 @@
         fleet_.tick(now);
         tryFinishStop(now);
     });
+    runEvery(ForgetInterval, [this](TimePoint) { forgetGoneEndpoints(); });
     return absl::OkStatus();
 }
 
@@ -348,6 +351,16 @@
     }
 }
 
+void PlatformGateway::forgetGoneEndpoints()
+{
+    std::set<std::string> present;
+    for (const auto &record : directory_.allEndpoints()) {
+        present.insert(record.id);
+    }
+    loads_.keepOnly(present);
+    placement_.keepOnly(present);
+}
+
 void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
 {
     Platform::RequestMetadata facts = Platform::decodeRequest(exchange->head());
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -71,6 +71,8 @@
     void onEndpointChanges(const std::vector<TableChanges::Change> &changes, TimePoint now);
     std::optional<EndpointRecord> decodeEndpoint(const std::string &id, const std::string &value);
     void dropEndedEndpoints(TimePoint now);
+    /** Calls that were in flight when their endpoint was dropped may have left something of it. */
+    void forgetGoneEndpoints();
 
     void onRequest(const std::shared_ptr<CallerExchange> &exchange);
     void admitRequest(const std::shared_ptr<CallerExchange> &exchange, Platform::RequestMetadata facts);
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -90,6 +90,11 @@
     loads_.erase(endpoint);
 }
 
+void EndpointLoads::keepOnly(const std::set<std::string> &endpoints)
+{
+    std::erase_if(loads_, [&endpoints](const auto &item) { return item.second.calls == 0 && !endpoints.contains(item.first); });
+}
+
 const EndpointLoads::Load &EndpointLoads::loadOf(const std::string &endpoint) const
 {
     static const Load emptyLoad;
--- a/src/libserving/endpointloads.h
+++ b/src/libserving/endpointloads.h
@@ -9,6 +9,7 @@
 #include "nametable.h"
 #include "timepoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -69,6 +70,10 @@
     void onCallEnded(const std::string &endpoint, const PromptWork &prompt, AttemptOutcome outcome, TimePoint now);
     void onLoadReported(const std::string &endpoint, const ReportedLoad &load, TimePoint now);
     void removeEndpoint(const std::string &endpoint);
+    /** Forgets all other endpoints that have no call in flight. Calls may begin and end after their endpoint was removed. */
+    void keepOnly(const std::set<std::string> &endpoints);
+    /** Number of endpoints of which anything is known. */
+    std::size_t size() const;
 
     const Load &loadOf(const std::string &endpoint) const;
     bool isAvoided(const std::string &endpoint, TimePoint now) const;
@@ -91,4 +96,9 @@
     std::uint64_t timelyPromptTokens_ = 0;
 };
 
+inline std::size_t EndpointLoads::size() const
+{
+    return loads_.size();
+}
+
 }
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -208,4 +208,9 @@
     trackedParts_.erase(endpoint);
 }
 
+void PlacementPolicy::keepOnly(const std::set<std::string> &endpoints)
+{
+    std::erase_if(trackedParts_, [&endpoints](const auto &item) { return !endpoints.contains(item.first); });
+}
+
 }
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -98,6 +98,10 @@
     /** Records that the endpoint prefilled these parts and caches them now; @p uncachedTokens of their tokens were not cached before. */
     void recordPrefill(const std::string &endpoint, const std::vector<PromptPart> &parts, std::uint64_t uncachedTokens);
     void removeEndpoint(const std::string &endpoint);
+    /** Forgets all other endpoints. A prompt may have been prefilled by one that was removed meanwhile. */
+    void keepOnly(const std::set<std::string> &endpoints);
+    /** Number of endpoints whose cached parts are tracked. */
+    std::size_t trackedEndpoints() const;
 
 private:
     /** The prompt parts that were sent to an engine, least recently used first. */
@@ -136,4 +140,9 @@
     std::unordered_map<std::string, TrackedParts> trackedParts_;
 };
 
+inline std::size_t PlacementPolicy::trackedEndpoints() const
+{
+    return trackedParts_.size();
+}
+
 }
