CallerServer: bound the bodies of all requests together

Cause: a bound on each body, none on all; and three copies of each while an endpoint reads it. Ruled out: fewer copies alone, 100 bodies of 4 MB would still be 400 MB; counting stated lengths as kept, so that sixteen callers that send nothing would lock out all others. Change: all bodies share a ByteBudget of a sixth of the memory limit. What doesn't fit is refused before it is read; where bodies outgrow it together, the largest that is still being read is given up. Bodies that were passed on count until their request ends and can't be given up. The call's copy is released once it is written, and long bodies aren't joined with their head. A gauge kept_body_bytes.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -45,11 +45,15 @@
 /** Callers that a late gateway refuses come back after this many times its lateness. */
 constexpr int CatchUpFactor = 2;
 constexpr Milliseconds StoppingRetryAfter{50};
+constexpr Milliseconds BodiesRetryAfter{500};
 /** Fraction that is used of the units that customers may spend beyond their quotas. */
 constexpr double QuotaAllowanceFraction = 0.85;
 /** The part of the memory limit that answers may use which are kept, divided by this; growing buffers use up to twice their bytes. */
 constexpr std::size_t KeptAnswersDivisor = 4;
 constexpr std::size_t MinKeptAnswerBytes = std::size_t{8} << 20U;
+/** Fraction of the memory limit that all requests' bodies may take. A body is in memory twice while an endpoint reads it. */
+constexpr std::size_t KeptBodiesDivisor = 6;
+constexpr std::size_t MinKeptBodyBytes = std::size_t{8} << 20U;
 /** Fraction of the fleet's retry budget that the present gateways share; the rest is for gateways that join. */
 constexpr double RetryBudgetFraction = 0.6;
 
@@ -218,13 +222,18 @@
     const auto onStatus = [this](const std::shared_ptr<CallerExchange> &exchange) { onStatusRequest(exchange); };
     try {
         callerServer_ = std::make_unique<CallerServer>(
-            ioContext_, listenAddress(*settings_.callerListen), limits, [this](const auto &exchange) { onRequest(exchange); });
+            ioContext_,
+            listenAddress(*settings_.callerListen),
+            limits,
+            [this](const auto &exchange) { onRequest(exchange); },
+            std::max(MinKeptBodyBytes, settings_.memoryBytes / KeptBodiesDivisor));
         readinessServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress(*settings_.readinessListen), noLimits, onStatus);
         metricsServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress({settings_.ip, MetricsPort}), noLimits, onStatus);
     } catch (const std::system_error &error) {
         return absl::UnavailableError(std::string("can't listen: ") + error.what());
     }
     metrics_.gauge("kept_answer_bytes", [this] { return static_cast<double>(keptAnswers_.used()); });
+    metrics_.gauge("kept_body_bytes", [this] { return static_cast<double>(callerServer_->keptBodyBytes()); });
     metrics_.gauge("requests_of_gone_callers", [this] { return static_cast<double>(callerServer_->requestsOfGoneCallers()); });
     // Posted, so that the ports, which the program prints after start(), are the first line of its output.
     asio::post(ioContext_, [this] {
@@ -370,6 +379,10 @@
         refuseRequest(exchange, facts, Unavailable, "gateway is late", retryAfter);
         return;
     }
+    if (exchange->isBodyGivenUp()) {
+        refuseRequest(exchange, facts, Unavailable, "too many bytes of requests", BodiesRetryAfter);
+        return;
+    }
     if (!catalogue_) {
         refuseRequest(exchange, facts, Unavailable, "no configuration yet", NotReadyRetryAfter);
         return;
--- a/src/libproxy/bytebudget.cpp
+++ b/src/libproxy/bytebudget.cpp
@@ -24,12 +24,20 @@
         budget_.shares_.erase(this);
         return;
     }
-    budget_.shares_.insert(this);
-    while (budget_.used_ > budget_.limit_) {
+    if (!isFixed_) {
+        budget_.shares_.insert(this);
+    }
+    while (budget_.used_ > budget_.limit_ && !budget_.shares_.empty()) {
         budget_.freeLargest();
     }
 }
 
+void ByteBudget::Share::fix()
+{
+    isFixed_ = true;
+    budget_.shares_.erase(this);
+}
+
 ByteBudget::ByteBudget(std::size_t limit)
     : limit_(limit)
 {
--- a/src/libproxy/bytebudget.h
+++ b/src/libproxy/bytebudget.h
@@ -28,6 +28,8 @@
 
         /** The holder keeps this many bytes from now on. */
         void resize(std::size_t bytes);
+        /** The holder can't give its bytes up any more. They still count. */
+        void fix();
 
     private:
         friend class ByteBudget;
@@ -35,6 +37,7 @@
         ByteBudget &budget_;
         std::function<void()> onExceeded_;
         std::size_t bytes_ = 0;
+        bool isFixed_ = false;
     };
 
     explicit ByteBudget(std::size_t limit);
@@ -42,6 +45,8 @@
     ByteBudget &operator=(const ByteBudget &) = delete;
 
     std::size_t used() const;
+    /** Whether so many more bytes would exceed the budget. */
+    bool isExceededBy(std::size_t bytes) const;
 
 private:
     void freeLargest();
@@ -49,7 +54,7 @@
     std::size_t limit_;
     /** Sum of bytes_ of all shares. */
     std::size_t used_ = 0;
-    /** The shares that keep any bytes. */
+    /** The shares that keep any bytes and can give them up. */
     std::unordered_set<Share *> shares_;
 };
 
@@ -58,4 +63,9 @@
     return used_;
 }
 
+inline bool ByteBudget::isExceededBy(std::size_t bytes) const
+{
+    return used_ + bytes > limit_;
+}
+
 }
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -77,7 +77,7 @@
 
 void CallerConnection::onBytes(std::string_view bytes)
 {
-    if (phase_ == Phase::Closing) {
+    if (phase_ == Phase::Closing || isBodyGivenUp_) {
         return;
     }
     input_.append(bytes);
@@ -132,6 +132,9 @@
         sendErrorAndClose(BodyTooLarge);
         return;
     }
+    if (!keepBody()) {
+        return;
+    }
     if (parser_.state() == MessageParser::State::Complete) {
         dispatch();
         return;
@@ -143,6 +146,67 @@
     }
 }
 
+bool CallerConnection::keepBody()
+{
+    const std::size_t stated = parser_.contentLength().value_or(0);
+    if (!keptBody_) {
+        if (shared_->bodies.isExceededBy(stated)) {
+            dispatchWithoutBody();
+            return false;
+        }
+        if (body_.empty()) {
+            return true;
+        }
+        keptBody_ = newShare();
+        body_.reserve(stated);
+    }
+    keptBody_->resize(body_.size());
+    return !isBodyGivenUp_;
+}
+
+std::shared_ptr<ByteBudget::Share> CallerConnection::newShare()
+{
+    struct Counted
+    {
+        Counted(std::shared_ptr<CallerServer::SharedState> sharedState, std::function<void()> onExceeded)
+            : server(std::move(sharedState))
+            , share(server->bodies, std::move(onExceeded))
+        {
+        }
+        std::shared_ptr<CallerServer::SharedState> server;
+        ByteBudget::Share share;
+    };
+    const auto onExceeded = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->isBodyGivenUp_ = true;
+        self->body_ = {};
+        // Another connection's bytes are being counted, so this one's request is refused in a turn of its own.
+        asio::post(self->shared_->executor, [self] { self->dispatchWithoutBody(); });
+    };
+    const auto counted = std::make_shared<Counted>(shared_, onExceeded);
+    return {counted, &counted->share};
+}
+
+void CallerConnection::dispatchWithoutBody()
+{
+    if (phase_ != Phase::Reading) {
+        return;
+    }
+    phase_ = Phase::Responding;
+    isBodyGivenUp_ = true;
+    keepAlive_ = false;
+    headRequest_ = parser_.request().method == "HEAD";
+    input_.clear();
+    body_ = {};
+    keptBody_.reset();
+    exchange_ = std::make_shared<CallerExchange>(shared_from_this(), parser_.request(), std::string(), nullptr, arrivedAt_);
+    exchange_->isBodyGivenUp_ = true;
+    shared_->onRequest(exchange_);
+}
+
 void CallerConnection::dispatch()
 {
     if (socket_->isClosedByPeer()) {
@@ -153,8 +217,11 @@
     phase_ = Phase::Responding;
     keepAlive_ = parser_.keepsAlive();
     headRequest_ = parser_.request().method == "HEAD";
-    exchange_ = std::make_shared<CallerExchange>(shared_from_this(), parser_.request(), std::move(body_), arrivedAt_);
-    body_.clear();
+    if (keptBody_) {
+        keptBody_->fix();
+    }
+    exchange_ = std::make_shared<CallerExchange>(
+        shared_from_this(), parser_.request(), std::exchange(body_, {}), std::exchange(keptBody_, nullptr), arrivedAt_);
     shared_->onRequest(exchange_);
 }
 
@@ -200,6 +267,8 @@
     timeoutStart_ = suspendAwareNow();
     unreadBytes_ = socket_->unacknowledgedBytes();
     input_.clear();
+    body_ = {};
+    keptBody_.reset();
     socket_->finishWriting();
     socket_->resumeReading();
 }
--- a/src/libproxy/callerconnection.h
+++ b/src/libproxy/callerconnection.h
@@ -8,15 +8,26 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace Chestnutcove {
 
 /** State that all connections of a server share. */
 struct CallerServer::SharedState
 {
+    SharedState(asio::any_io_executor loop, LimitsReader limitsReader, RequestHandler requestHandler, std::size_t maxBodyBytes)
+        : executor(std::move(loop))
+        , limits(std::move(limitsReader))
+        , onRequest(std::move(requestHandler))
+        , bodies(maxBodyBytes)
+    {
+    }
+
     asio::any_io_executor executor;
     LimitsReader limits;
     RequestHandler onRequest;
+    /** What is kept of requests' bodies. */
+    ByteBudget bodies;
     std::unordered_set<std::shared_ptr<CallerConnection>> connections;
     bool closeAfterResponse = false;
     /** Requests that weren't passed on, since their callers had left when they were read. */
@@ -62,12 +73,21 @@
     /** While closing: whether the caller's side has taken some of the response since the last look. */
     bool hasReadMore(TimePoint now);
     void dispatch();
+    /** Counts what has arrived of the body. @return false if it is given up, as too many bytes are kept of all requests. */
+    bool keepBody();
+    /** Passes the request on without its body, to be refused, and closes the connection after that. */
+    void dispatchWithoutBody();
+    std::shared_ptr<ByteBudget::Share> newShare();
 
     std::shared_ptr<BufferedSocket> socket_;
     std::shared_ptr<CallerServer::SharedState> shared_;
     MessageParser parser_;
     std::string input_;
     std::string body_;
+    /** Counts the bytes of body_ until the request is passed on; null before the first byte. */
+    std::shared_ptr<ByteBudget::Share> keptBody_;
+    /** The body of the request that is being read won't be kept. */
+    bool isBodyGivenUp_ = false;
     std::shared_ptr<CallerExchange> exchange_;
     Phase phase_ = Phase::Idle;
     /** Start of the running timeout: when the phase began, or when the last bytes of a request body arrived. */
--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -27,10 +27,15 @@
 
 }
 
-CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection, RequestHead head, std::string body, TimePoint arrivedAt)
+CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection,
+                               RequestHead head,
+                               std::string body,
+                               std::shared_ptr<ByteBudget::Share> keptBody,
+                               TimePoint arrivedAt)
     : connection_(std::move(connection))
     , head_(std::move(head))
     , body_(std::move(body))
+    , keptBody_(std::move(keptBody))
     , arrivedAt_(arrivedAt)
     , lastLookAt_(suspendAwareNow())
 {
@@ -152,8 +157,12 @@
     }
 }
 
-CallerServer::CallerServer(asio::io_context &context, const asio::ip::tcp::endpoint &listen, LimitsReader limits, RequestHandler onRequest)
-    : shared_(std::make_shared<SharedState>(SharedState{context.get_executor(), std::move(limits), std::move(onRequest)}))
+CallerServer::CallerServer(asio::io_context &context,
+                           const asio::ip::tcp::endpoint &listen,
+                           LimitsReader limits,
+                           RequestHandler onRequest,
+                           std::size_t maxBodyBytes)
+    : shared_(std::make_shared<SharedState>(context.get_executor(), std::move(limits), std::move(onRequest), maxBodyBytes))
     , acceptor_(context)
     , retryTimer_(context)
 {
@@ -245,6 +254,11 @@
     return shared_->requestsOfGoneCallers;
 }
 
+std::size_t CallerServer::keptBodyBytes() const
+{
+    return shared_->bodies.used();
+}
+
 std::size_t CallerServer::openConnectionCount() const
 {
     return shared_->connections.size();
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "bufferedsocket.h"
+#include "bytebudget.h"
 #include "messageparser.h"
 #include "routecatalogue.h"
 #include "timepoint.h"
@@ -16,6 +17,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <unordered_set>
 
@@ -27,10 +29,17 @@
 class CallerExchange : public std::enable_shared_from_this<CallerExchange>
 {
 public:
-    CallerExchange(std::shared_ptr<CallerConnection> connection, RequestHead head, std::string body, TimePoint arrivedAt);
+    /** @param keptBody counts the bytes of the body among those of all requests; may be null. */
+    CallerExchange(std::shared_ptr<CallerConnection> connection,
+                   RequestHead head,
+                   std::string body,
+                   std::shared_ptr<ByteBudget::Share> keptBody,
+                   TimePoint arrivedAt);
 
     const RequestHead &head() const;
     const std::string &body() const;
+    /** The body was given up, since the server keeps too many bytes of requests. The request must be refused. */
+    bool isBodyGivenUp() const;
     /** When the first byte of the request was read, on the suspend-aware clock. */
     TimePoint arrivedAt() const;
 
@@ -66,6 +75,8 @@
     std::shared_ptr<CallerConnection> connection_;
     RequestHead head_;
     std::string body_;
+    std::shared_ptr<ByteBudget::Share> keptBody_;
+    bool isBodyGivenUp_ = false;
     TimePoint arrivedAt_;
     /** When it was last looked at whether the caller has left. */
     TimePoint lastLookAt_;
@@ -82,8 +93,16 @@
     using RequestHandler = std::function<void(std::shared_ptr<CallerExchange>)>;
     using LimitsReader = std::function<CallerLimits()>;
 
-    /** @throws std::system_error when the server can't listen on the address. */
-    CallerServer(asio::io_context &context, const asio::ip::tcp::endpoint &listen, LimitsReader limits, RequestHandler onRequest);
+    /**
+     * @param maxBodyBytes of all requests together, from the arrival of a body's first byte to the end of its exchange. Beyond it the
+     * largest body that is still being read is given up.
+     * @throws std::system_error when the server can't listen on the address.
+     */
+    CallerServer(asio::io_context &context,
+                 const asio::ip::tcp::endpoint &listen,
+                 LimitsReader limits,
+                 RequestHandler onRequest,
+                 std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max());
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
@@ -97,6 +116,8 @@
     std::size_t openConnectionCount() const;
     /** Number of requests that weren't passed on, since their callers had left when they were read. */
     std::uint64_t requestsOfGoneCallers() const;
+    /** Bytes of the bodies of all requests. */
+    std::size_t keptBodyBytes() const;
     /** Closes connections that exceeded a timeout. Must be called several times a second. */
     void closeExpiredConnections(TimePoint now);
 
@@ -124,6 +145,11 @@
     return body_;
 }
 
+inline bool CallerExchange::isBodyGivenUp() const
+{
+    return isBodyGivenUp_;
+}
+
 inline TimePoint CallerExchange::arrivedAt() const
 {
     return arrivedAt_;
--- a/src/libproxy/endpointconnection.cpp
+++ b/src/libproxy/endpointconnection.cpp
@@ -15,6 +15,8 @@
 constexpr int FirstFinalStatus = 200;
 /** Interim responses, and late ones to earlier calls, that may precede the response to a call. */
 constexpr unsigned MaxSkippedResponses = 32;
+/** Bodies up to this size are sent in one piece with their head; longer ones aren't copied for that. */
+constexpr std::size_t MaxJoinedBodyBytes = std::size_t{16} * 1024;
 
 std::optional<Milliseconds> keepAliveTimeoutOf(const HeaderFields &fields)
 {
@@ -70,8 +72,14 @@
         call_.head.fields.push_back({"Content-Length", std::to_string(call_.body.size())});
     }
     std::string text = serialise(call_.head);
-    text += call_.body;
+    const std::string body = std::exchange(call_.body, {});
+    if (body.size() <= MaxJoinedBodyBytes) {
+        text += body;
+        socket_->write(text);
+        return;
+    }
     socket_->write(text);
+    socket_->write(body);
 }
 
 void EndpointConnection::cancel()
--- a/tests/proxy/bytebudget_test.cpp
+++ b/tests/proxy/bytebudget_test.cpp
@@ -60,6 +60,20 @@
     EXPECT_EQ(budget_.used(), 0U);
 }
 
+// Guards against bytes in use that count as given up, and against a search without end for bytes that could be.
+TEST_F(ByteBudgetTest, FixedShareIsLargest_LimitIsExceeded_TheOtherIsGivenUp)
+{
+    first_.share.resize(900);
+    first_.share.fix();
+    second_.share.resize(200);
+    EXPECT_FALSE(first_.exceeded);
+    EXPECT_TRUE(second_.exceeded);
+    EXPECT_EQ(budget_.used(), 900U);
+    first_.share.resize(1100);
+    EXPECT_FALSE(first_.exceeded);
+    EXPECT_EQ(budget_.used(), 1100U);
+}
+
 TEST_F(ByteBudgetTest, ShareEnds_ItsBytesAreFree)
 {
     {
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -495,6 +495,77 @@
     EXPECT_TRUE(ended_);
 }
 
+/** All bodies together have a bound below that of two of the largest. */
+class KeptBodiesTest : public CallerServerTest
+{
+protected:
+    static constexpr std::size_t MaxBodyBytes = 150;
+
+    void sendFrom(tcp::socket &caller, const std::string &bytes)
+    {
+        asio::write(caller, asio::buffer(bytes));
+        context_.restart();
+        context_.run_for(20ms);
+    }
+
+    static std::string headOf(std::size_t length)
+    {
+        return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    }
+
+    tcp::socket callerOf(const CallerServer &server)
+    {
+        tcp::socket caller(context_);
+        caller.connect(tcp::endpoint(asio::ip::address_v4::loopback(), server.port()));
+        return caller;
+    }
+
+    CallerServer boundedServer_{context_,
+                                tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+                                [this] { return limits_; },
+                                [this](const auto &exchange) { exchanges_.push_back(exchange); },
+                                MaxBodyBytes};
+};
+
+// Guards against bodies, each below its bound, that exceed the process's memory together.
+TEST_F(KeptBodiesTest, BodyWouldExceedTheBoundOfAll_Request_IsToBeRefusedBeforeItsBodyArrives)
+{
+    tcp::socket first = callerOf(boundedServer_);
+    tcp::socket second = callerOf(boundedServer_);
+    sendFrom(first, headOf(90) + std::string(90, 'x'));
+    sendFrom(second, headOf(90));
+    ASSERT_EQ(exchanges_.size(), 2U);
+    EXPECT_FALSE(exchanges_[0]->isBodyGivenUp());
+    EXPECT_TRUE(exchanges_[1]->isBodyGivenUp());
+    exchanges_[1]->sendResponse({503, "Unavailable", {}}, "");
+    sendFrom(second, std::string(90, 'x'));
+    EXPECT_EQ(exchanges_.size(), 2U) << "the body isn't another request";
+    exchanges_[0]->sendResponse({200, "OK", {}}, "");
+    exchanges_.clear();
+    EXPECT_EQ(boundedServer_.keptBodyBytes(), 0U);
+}
+
+TEST_F(KeptBodiesTest, ArrivingBodiesExceedTheBoundOfAll_LargestThatIsStillRead_IsGivenUp)
+{
+    tcp::socket passedOn = callerOf(boundedServer_);
+    tcp::socket larger = callerOf(boundedServer_);
+    tcp::socket smaller = callerOf(boundedServer_);
+    sendFrom(larger, headOf(60) + std::string(40, 'x'));
+    sendFrom(smaller, headOf(60) + std::string(10, 'x'));
+    sendFrom(passedOn, headOf(60) + std::string(60, 'x'));
+    sendFrom(smaller, std::string(20, 'x'));
+    ASSERT_EQ(exchanges_.size(), 1U);
+    sendFrom(larger, std::string(19, 'x'));
+    sendFrom(smaller, std::string(5, 'x'));
+    ASSERT_EQ(exchanges_.size(), 2U);
+    EXPECT_FALSE(exchanges_[0]->isBodyGivenUp());
+    EXPECT_TRUE(exchanges_[1]->isBodyGivenUp());
+    sendFrom(smaller, std::string(25, 'x'));
+    ASSERT_EQ(exchanges_.size(), 3U);
+    EXPECT_FALSE(exchanges_[2]->isBodyGivenUp());
+    EXPECT_EQ(exchanges_[2]->body().size(), 60U);
+}
+
 TEST_F(CallerServerTest, BodyTooLarge_Request_IsRefusedBeforeBodyArrives)
 {
     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
