CrashEvidence: keep a bounded number of crashes of one part

Cause: a suspicion is renewed by each trial and kept each crash. Ruled out: forgetting by age, since reports of others bring old crashes again and again, which would count as new and renew the suspicion. Change: the 64 crashes of the latest rounds are kept; what was dropped stays dropped when it is reported again.

--- a/src/libserving/crashevidence.cpp
+++ b/src/libserving/crashevidence.cpp
@@ -3,12 +3,16 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Chestnutcove {
 
 namespace {
 
+/** More crashes of one part tell nothing new. Far more than block it, and than one gateway reports. */
+constexpr std::size_t MaxCrashes = 64;
+
 /** Calls @p action with each part that may be shared with other prompts. */
 template<typename Action>
 void forEachSharedPart(const std::vector<PromptPart> &parts, Action action)
@@ -99,7 +103,10 @@
         const bool isOnlySuspect = suspects <= 1;
         const bool isNextRound = suspicion.round == 0 || (sentAt > suspicion.roundLearnedAt && isOnlySuspect);
         addCrash(suspicion, run, suspicion.round + (isNextRound ? 1 : 0), now);
-        suspicion.ownRuns.insert(run);
+        suspicion.lastCrashAt = now;
+        if (suspicion.crashes.contains(run)) {
+            suspicion.ownRuns.insert(run);
+        }
     });
     limitSuspicions();
 }
@@ -111,8 +118,28 @@
     return it->second;
 }
 
+bool CrashEvidence::makeRoom(Suspicion &suspicion, const std::string &run, unsigned round)
+{
+    if (suspicion.crashes.size() < MaxCrashes || suspicion.crashes.contains(run)) {
+        return true;
+    }
+    const auto rankOf = [](const auto &crash) { return std::tie(crash.second, crash.first); };
+    const auto lowest = std::min_element(suspicion.crashes.begin(), suspicion.crashes.end(), [rankOf](const auto &left, const auto &right) {
+        return rankOf(left) < rankOf(right);
+    });
+    if (std::tie(round, run) < rankOf(*lowest)) {
+        return false;
+    }
+    suspicion.ownRuns.erase(lowest->first);
+    suspicion.crashes.erase(lowest);
+    return true;
+}
+
 void CrashEvidence::addCrash(Suspicion &suspicion, const std::string &run, unsigned round, TimePoint now) const
 {
+    if (!makeRoom(suspicion, run, round)) {
+        return;
+    }
     const auto [it, isNew] = suspicion.crashes.try_emplace(run, round);
     if (isNew) {
         suspicion.lastCrashAt = now;
@@ -151,8 +178,11 @@
 {
     onReport(report, now);
     for (const auto &[key, crashes] : report.crashes) {
+        Suspicion &suspicion = suspicionOf(key);
         for (const auto &[run, round] : crashes) {
-            suspicionOf(key).ownRuns.insert(run);
+            if (suspicion.crashes.contains(run)) {
+                suspicion.ownRuns.insert(run);
+            }
         }
     }
     for (const std::string &key : report.cleared) {
--- a/src/libserving/crashevidence.h
+++ b/src/libserving/crashevidence.h
@@ -106,6 +106,7 @@
 private:
     struct Suspicion
     {
+        /** Those of the latest rounds. */
         CrashRounds crashes;
         /** Highest round, and when this gateway learned of it. */
         unsigned round = 0;
@@ -115,7 +116,7 @@
         /** Since when the crashes suffice to block the part. */
         std::optional<TimePoint> sufficientSince;
         TimePoint lastTrialAt{};
-        /** Runs that this gateway saw crash, which it reports. */
+        /** Runs that this gateway saw crash, which it reports; all of them are in crashes. */
         std::set<std::string> ownRuns;
         /** Some gateway has seen a request with the part answered. */
         bool isAnswered = false;
@@ -125,6 +126,11 @@
     };
 
     static std::string keyOf(const std::string &service, const PromptPart &part);
+    /**
+     * Drops the crash of the lowest round, or of the first name in it, if there are too many. What was dropped once is dropped each time it
+     * is reported again. @return false if that is the one to be added.
+     */
+    static bool makeRoom(Suspicion &suspicion, const std::string &run, unsigned round);
     void addCrash(Suspicion &suspicion, const std::string &run, unsigned round, TimePoint now) const;
     /** The suspicion of a part, which begins if there is none. */
     Suspicion &suspicionOf(const std::string &key);
