MessageParser: a head without fields or reason has started the message

Cause: the size of a complete head leaves out its status line, so it is 0 for a status line alone, and the size told whether a message has started. An answer that is cut off after such a head would have counted as none. Ruled out: counting the status line, which no bound needs. Change: a message has started as well once its head is complete.

--- a/src/libproxy/messageparser.h
+++ b/src/libproxy/messageparser.h
@@ -152,7 +152,7 @@
 
 inline bool MessageParser::hasStarted() const
 {
-    return headBytes_ > 0;
+    return state_ != State::Head || headBytes_ > 0;
 }
 
 }
--- a/tests/proxy/messageparser_test.cpp
+++ b/tests/proxy/messageparser_test.cpp
@@ -29,6 +29,14 @@
     EXPECT_TRUE(parser_.isHeadTooLong());
 }
 
+// Guards against an answer that was cut off and counts as one that never began.
+TEST_F(ResponseHeadTest, HeadIsAStatusLineAlone_Parser_HasStarted)
+{
+    parser_.feed("HTTP/1.1 200\r\n\r\n");
+    ASSERT_EQ(parser_.state(), MessageParser::State::Body);
+    EXPECT_TRUE(parser_.hasStarted());
+}
+
 TEST_F(ResponseHeadTest, HeadWithinTheBoundAndLongBodyArriveAtOnce_Parser_ReadsThem)
 {
     constexpr std::size_t BodyBytes = 200'000;
