CallerConnection: reserve memory for a body only up to a bound

Cause: memory was reserved for the stated length. Where the configuration sets no bound for a body (0), a stated length of 9e18 bytes with one byte of body throws in the event loop. The check of the sum could also wrap around. Ruled out: the default limits, and those of the status ports, which are 4 MB. Change: at most 4 MB are reserved; the check doesn't add. A name that said "no limits" for the default ones is corrected. Result: the new test failed before (std::bad_alloc) and passes.

--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -218,7 +218,7 @@
         return absl::InvalidArgumentError("platform settings: a gateway needs addresses to listen on for callers and for readiness");
     }
     const auto limits = [this] { return catalogue_ ? catalogue_->limits() : CallerLimits{}; };
-    const auto noLimits = [] { return CallerLimits{}; };
+    const auto defaultLimits = [] { return CallerLimits{}; };
     const auto onStatus = [this](const std::shared_ptr<CallerExchange> &exchange) { onStatusRequest(exchange); };
     try {
         callerServer_ = std::make_unique<CallerServer>(
@@ -227,8 +227,8 @@
             limits,
             [this](const auto &exchange) { onRequest(exchange); },
             std::max(MinKeptBodyBytes, settings_.memoryBytes / KeptBodiesDivisor));
-        readinessServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress(*settings_.readinessListen), noLimits, onStatus);
-        metricsServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress({settings_.ip, MetricsPort}), noLimits, onStatus);
+        readinessServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress(*settings_.readinessListen), defaultLimits, onStatus);
+        metricsServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress({settings_.ip, MetricsPort}), defaultLimits, onStatus);
     } catch (const std::system_error &error) {
         return absl::UnavailableError(std::string("can't listen: ") + error.what());
     }
--- a/src/libproxy/bytebudget.h
+++ b/src/libproxy/bytebudget.h
@@ -65,7 +65,7 @@
 
 inline bool ByteBudget::isExceededBy(std::size_t bytes) const
 {
-    return used_ + bytes > limit_;
+    return used_ > limit_ || bytes > limit_ - used_;
 }
 
 }
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -15,6 +15,8 @@
 
 /** Limit of buffered input while a response is pending. Above it, reading pauses and the kernel holds further bytes. */
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
+/** A body grows without being copied up to this size, whatever length is stated. */
+constexpr std::size_t MaxReservedBytes = std::size_t{4} * 1024 * 1024;
 /** How long a caller may take to read more of its response, and then to close its side, after the sending direction was to be shut down. */
 constexpr Milliseconds GracefulCloseTimeout{2000};
 
@@ -158,7 +160,7 @@
             return true;
         }
         keptBody_ = newShare();
-        body_.reserve(stated);
+        body_.reserve(std::min(stated, MaxReservedBytes));
     }
     keptBody_->resize(body_.size());
     return !isBodyGivenUp_;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -495,6 +495,15 @@
     EXPECT_TRUE(ended_);
 }
 
+// Guards against memory, or an exception, for a length that is only stated.
+TEST_F(CallerServerTest, LengthBeyondAllMemoryIsStatedAndNothingBoundsIt_Request_IsReadOn)
+{
+    limits_.bodyBytes = 0;
+    EXPECT_NO_THROW(send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000000000000000\r\n\r\nx"));
+    EXPECT_TRUE(exchanges_.empty());
+    EXPECT_FALSE(ended_);
+}
+
 /** All bodies together have a bound below that of two of the largest. */
 class KeptBodiesTest : public CallerServerTest
 {
