Load reports: take a fourth figure, the present slowdown

Cause: endpoints that share machines report a fourth figure, how long work takes there at this moment, and the decoder dropped each report that doesn't have exactly three, so their load was not known at all. Ruled out: a report with a wrong fourth figure dropped as a whole; its load is as good as any other. Change: three or four figures are taken. ReportedLoad::slowdown is set from the fourth (100 is 1.0); figures that aren't numbers, or beyond 0.05 to 20, are ignored. No decision uses it yet.

--- a/src/libroutes/endpointrecord.h
+++ b/src/libroutes/endpointrecord.h
@@ -62,6 +62,8 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /** Factor on the time that work takes at the endpoint at present, 1 in the usual case; set only by endpoints that report it. */
+    std::optional<double> slowdown{};
 };
 
 inline std::string NetworkAddress::text() const
--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -252,6 +252,35 @@
     EXPECT_FALSE(decodeResponse({200, "", {{"Server-Load", "3,x,8"}}}).load.has_value());
 }
 
+// Guards against load reports that are dropped as a whole because they have a fourth figure.
+TEST(Response, LoadWithFourFigures_Decoded_StatesLoadAndSlowdown)
+{
+    const auto load = decodeResponse({200, "", {{"Server-Load", "3,1,8,250"}}}).load;
+    ASSERT_TRUE(load.has_value());
+    EXPECT_EQ(load->running, 3U);
+    EXPECT_EQ(load->waiting, 1U);
+    EXPECT_EQ(load->slots, 8U);
+    ASSERT_TRUE(load->slowdown.has_value());
+    EXPECT_DOUBLE_EQ(*load->slowdown, 2.5);
+    EXPECT_DOUBLE_EQ(decodeResponse({200, "", {{"Server-Load", "3,1,8, 100"}}}).load->slowdown.value_or(0), 1);
+    EXPECT_FALSE(decodeResponse({200, "", {{"Server-Load", "3,1,8"}}}).load->slowdown.has_value());
+    EXPECT_FALSE(decodeResponse({200, "", {{"Server-Load", "3,1,8,100,5"}}}).load.has_value());
+}
+
+// Guards against expected times of zero, below zero or beyond any bound that follow from a wrong figure, and against the loss of the rest.
+TEST(Response, SlowdownIsWrong_Decoded_OnlyTheSlowdownIsIgnored)
+{
+    for (const char *figure : {"0", "-100", "nan", "inf", "1e300", "4", "2001", "x", "", "100x"}) {
+        const auto load = decodeResponse({200, "", {{"Server-Load", std::string("3,1,8,") + figure}}}).load;
+        ASSERT_TRUE(load.has_value()) << figure;
+        EXPECT_EQ(load->running, 3U) << figure;
+        EXPECT_FALSE(load->slowdown.has_value()) << figure;
+    }
+    for (const char *figure : {"5", "2000"}) {
+        EXPECT_TRUE(decodeResponse({200, "", {{"Server-Load", std::string("3,1,8,") + figure}}}).load->slowdown.has_value()) << figure;
+    }
+}
+
 TEST(Response, LeavingOrTurnedAway_Decoded_StatesItAndTimeIsBounded)
 {
     EXPECT_TRUE(decodeResponse({200, "", {{"Server-Leaving", "1"}}}).isLeaving);
