Urgency: follows the rank of the request

Cause: the urgency sent to engines followed from short answers (3) and lateness (8) alone, so a batch job of rank 2 with a short answer went before an interactive request of rank 0, and the stated priorities were used in no decision. Ruled out: 8 for the late run of a short answer of rank 0. Lateness arises in the queue of prompts; today that run has 3, and a deployment whose short answers have rank 0 is to be served as before. Change: requests to services with engines get 3 + 2r (at most 7), or when late 8 for rank 0 and 9 for the others (urgency.h). The rank is the customer's priority, else the route's; it goes with the placement query. Services without engines get none.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -5,6 +5,7 @@
 #include "shortcall.h"
 #include "suspendclock.h"
 #include "text.h"
+#include "urgency.h"
 
 #include <asio/post.hpp>
 
@@ -30,9 +31,6 @@
 constexpr int RetryAfterDivisor = 3;
 constexpr Milliseconds MinRetryAfter{50};
 constexpr Milliseconds RetryAfterJitter{400};
-/** Urgency of calls, from 0 (most urgent) to 9. Requests that are predicted to be late have lower priority than others. */
-constexpr int ShortAnswerUrgency = 3;
-constexpr int LateUrgency = 8;
 /** Maximum number of prefill calls for one request. */
 constexpr unsigned MaxPrefillCalls = 2;
 /** Maximum number of runs with one held prompt. Then it is prefilled again, since its KV cache may be gone from the prefill engine. */
@@ -70,6 +68,7 @@
     placementQuery_.promptTokens = request_.facts.promptTokens.value_or(0);
     placementQuery_.maxOutputTokens = request_.facts.maxOutputTokens;
     placementQuery_.targetLatency = request_.route->targetLatency;
+    placementQuery_.rank = request_.rank;
 }
 
 void ForwardedRequest::start()
@@ -241,10 +240,8 @@
     lastEndpointId_ = endpoint.id;
     context_.loads.onCallStarted(endpoint.id, call_->promptWork);
     facts.customer = request_.customer;
-    if (work == CallWork::Run && request_.service->engine && placement_.hasShortAnswer) {
-        facts.urgency = ShortAnswerUrgency;
-    } else if (placement_.isLate) {
-        facts.urgency = LateUrgency;
+    if (request_.service->engine) {
+        facts.urgency = urgencyOf({placementQuery_.rank, placement_.isLate, work, placement_.hasShortAnswer});
     }
     facts.endpointId = endpoint.id;
     const unsigned limit = context_.connectionLimit(*request_.service);
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -35,6 +35,8 @@
     RequestContent content;
     /** Empty where the route needs no key. */
     std::string customer;
+    /** The customer's priority, else the route's; 0 is the highest rank. */
+    int rank = 0;
     /** What it took of the customer's quota; refunded if the request did not run. */
     LimitCharge quota;
 };
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -409,6 +409,7 @@
     AdmittedRequest request;
     request.catalogue = catalogue_;
     request.route = route;
+    request.rank = route->priority;
     request.service = chooseService(*catalogue_, *route, facts.requestId);
     request.facts = std::move(facts);
     if (request.service == nullptr) {
@@ -430,6 +431,7 @@
             return;
         }
         request.customer = customer->name;
+        request.rank = customer->priority.value_or(route->priority);
         if (refuseCrashingRequest(exchange, request)) {
             return;
         }
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -56,6 +56,8 @@
     Duration targetLatency{};
     /** Time that the caller still waits for its answer. */
     Duration maxWait{};
+    /** Priority of the customer, else of the route; 0 is the highest rank. */
+    int rank = 0;
     /** Endpoints that have already been tried. */
     std::set<std::string> excluded;
 };
