Platform: decode evacuation rows, regions and allowed regions

Cause: operators evacuate data centres by rows of the table `op` and confine routes and customers to regions; neither was decoded. Ruled out: treating an unreadable list of regions as none, since it would permit more than the readable one. Its elements match no region instead.

--- a/src/libroutes/routecatalogue.h
+++ b/src/libroutes/routecatalogue.h
@@ -58,6 +58,8 @@
     bool listsPromptParts = false;
     /** A broken stream may be continued at another endpoint. */
     bool resumable = false;
+    /** Regions whose endpoints may process its requests; empty for all. */
+    std::vector<std::string> allowedRegions;
 
     /** Whether one request may run more than once. */
     bool mayRepeat() const;
@@ -103,6 +105,8 @@
     bool countsTokens = false;
     /** Tokens charged for a request that doesn't state its number of tokens. */
     double defaultRequestTokens = 1;
+    /** Regions whose endpoints may process its requests; empty for all. */
+    std::vector<std::string> allowedRegions;
 };
 
 /** Limits on the size and duration of callers' requests; 0 means no limit. */
--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -127,6 +127,50 @@
     EXPECT_EQ(catalogue.limits().idleTimeout, Milliseconds(400));
 }
 
+// Guards against an evacuation that isn't in time, and against regions that are lost on the way from the settings.
+TEST(PlatformSettings, RegionsAndEvacuationBound_Parsed_YieldRegionByDataCentre)
+{
+    const auto settings = parseSettings(std::string(Settings) + "zones.dc-a=north\nzones.dc-b=south\nzones.dc-c=\nzones.=west\nzone=dc-a\n"
+                                        + "bounds.evacuate_ms=4000\n");
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    const RegionsByDataCentre expected{{"dc-a", "north"}, {"dc-b", "south"}};
+    EXPECT_EQ(settings->regions, expected);
+    EXPECT_EQ(settings->evacuationDelay, Milliseconds(4000));
+    EXPECT_EQ(parseSettings(Settings)->evacuationDelay, Milliseconds(5000));
+    EXPECT_TRUE(parseSettings(Settings)->regions.empty());
+}
+
+// Guards against other rows of the operators' table that evacuate a data centre, and against evacuations that are overlooked.
+TEST(EvacuationRow, Key_Decoded_NamesDataCentreOrNothing)
+{
+    EXPECT_EQ(evacuatedDataCentre("evacuate/dc-1"), "dc-1");
+    EXPECT_EQ(evacuatedDataCentre("evacuate/north/dc 1"), "north/dc 1");
+    for (const char *key : {"", "config", "evacuate", "evacuate/", "Evacuate/dc-1", "x/evacuate/dc-1"}) {
+        EXPECT_EQ(evacuatedDataCentre(key), std::nullopt) << key;
+    }
+}
+
+// Guards against prompts that leave their regions because a list is missing in the decoded configuration or can't be read.
+TEST(Configuration, AllowedRegions_Decoded_RestrictRouteAndCustomerAlsoIfUnreadable)
+{
+    auto configuration = nlohmann::json::parse(Configuration);
+    configuration["routes"][0]["allowed_regions"] = {"north", "south"};
+    configuration["routes"][1]["allowed_regions"] = nlohmann::json::array();
+    configuration["tenants"][0]["allowed_regions"] = {"north"};
+    auto decoded = decodeConfiguration(configuration.dump());
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(decoded->routes[0].allowedRegions, (std::vector<std::string>{"north", "south"}));
+    EXPECT_TRUE(decoded->routes[1].allowedRegions.empty());
+    EXPECT_EQ(decoded->customers[0].allowedRegions, std::vector<std::string>{"north"});
+    EXPECT_TRUE(decodeConfiguration(Configuration)->routes[0].allowedRegions.empty());
+    for (const nlohmann::json &odd : {nlohmann::json("north"), nlohmann::json(5), nlohmann::json::array({7}), nlohmann::json::object()}) {
+        configuration["tenants"][0]["allowed_regions"] = odd;
+        decoded = decodeConfiguration(configuration.dump());
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(decoded->customers[0].allowedRegions, std::vector<std::string>{""}) << odd;
+    }
+}
+
 TEST(Configuration, NoObjectOrNoVersion_Decoded_YieldsError)
 {
     EXPECT_FALSE(decodeConfiguration("").ok());
