Serving: leave out the endpoints of evacuated data centres

Cause: nothing kept requests and stage orders from a data centre that an operator wants empty. Ruled out: marking endpoints as draining; a run that has said that it leaves never comes back, and an evacuation ends. EndpointDirectory leaves their endpoints out of usableEndpoints(), isUsable() and nonDrainingEndpoints(), which is also what the stage planner plans with.

--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -1,7 +1,6 @@
 #include "endpointdirectory.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace Chestnutcove {
@@ -159,6 +158,21 @@
     return std::any_of(removedRuns_.begin(), removedRuns_.end(), [&](const auto &item) { return item.first.isSameRun(record); });
 }
 
+void EndpointDirectory::setEvacuated(std::set<std::string> dataCentres)
+{
+    evacuated_ = std::move(dataCentres);
+}
+
+bool EndpointDirectory::isEvacuated(const EndpointRecord &record) const
+{
+    return evacuated_.contains(record.dataCentre);
+}
+
+bool EndpointDirectory::isInService(const Entry &entry) const
+{
+    return !entry.isDraining() && !isEvacuated(entry.record);
+}
+
 std::vector<EndpointRecord> EndpointDirectory::takeEndedRuns(TimePoint now)
 {
     for (auto it = entries_.begin(); it != entries_.end();) {
@@ -179,7 +193,7 @@
     std::vector<EndpointRecord> result;
     for (const auto &[id, entry] : entries_) {
         const bool isChangingStage = entry.pendingStage && entry.pendingStage != entry.record.stage && now < entry.pendingUntil;
-        if (entry.record.service == service && !entry.isDraining() && !isChangingStage && now >= entry.closedUntil) {
+        if (entry.record.service == service && isInService(entry) && !isChangingStage && now >= entry.closedUntil) {
             result.push_back(entry.record);
         }
     }
@@ -190,7 +204,7 @@
 {
     std::vector<EndpointRecord> result;
     for (const auto &[id, entry] : entries_) {
-        if (entry.record.service == service && !entry.isDraining()) {
+        if (entry.record.service == service && isInService(entry)) {
             result.push_back(entry.record);
         }
     }
@@ -200,7 +214,7 @@
 bool EndpointDirectory::isUsable(const EndpointRecord &record, TimePoint now) const
 {
     const auto it = entries_.find(record.id);
-    return it != entries_.end() && it->second.record.isSameRun(record) && !it->second.isDraining() && now >= it->second.closedUntil;
+    return it != entries_.end() && it->second.record.isSameRun(record) && isInService(it->second) && now >= it->second.closedUntil;
 }
 
 std::vector<EndpointRecord> EndpointDirectory::allEndpoints() const
--- a/src/libserving/endpointdirectory.h
+++ b/src/libserving/endpointdirectory.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,13 +48,17 @@
     /** The store has come back from an older copy; entries that are read next may be out of date. */
     void onStoreRestored(TimePoint now);
 
+    /** The data centres whose endpoints get no requests and no orders, now and when they register later. */
+    void setEvacuated(std::set<std::string> dataCentres);
+    bool isEvacuated(const EndpointRecord &record) const;
+
     /** Removes entries whose retention has expired and returns the runs of endpoints that ended since the last call. */
     std::vector<EndpointRecord> takeEndedRuns(TimePoint now);
-    /** The endpoints of a service that accept new requests. */
+    /** The endpoints of a service that accept new requests, outside evacuated data centres. */
     std::vector<EndpointRecord> usableEndpoints(const std::string &service, TimePoint now) const;
-    /** The endpoints of a service that are not draining, including those that are changing their stage. */
+    /** The endpoints of a service that are not draining or evacuated, including those that are changing their stage. */
     std::vector<EndpointRecord> nonDrainingEndpoints(const std::string &service) const;
-    /** Whether this run of the endpoint is still registered and accepts new requests, whatever its stage. */
+    /** Whether this run of the endpoint is still registered, is not evacuated and accepts new requests, whatever its stage. */
     bool isUsable(const EndpointRecord &record, TimePoint now) const;
     std::vector<EndpointRecord> allEndpoints() const;
 
@@ -74,6 +79,7 @@
         bool isDraining() const;
     };
 
+    bool isInService(const Entry &entry) const;
     void onEntryMissing(const std::string &id, TimePoint now);
     /** For how long entries are retained that may have expired in an outage which this process didn't see. */
     Duration unseenOutageRetention() const;
@@ -85,6 +91,7 @@
 
     EndpointDirectoryOptions options_;
     std::map<std::string, Entry> entries_;
+    std::set<std::string> evacuated_;
     std::vector<EndpointRecord> endedRuns_;
     bool isStoreLost_ = false;
     /** Until when endpoints whose entry is missing may still register again; empty outside such a time. */
