Gateway: evacuate data centres and keep requests in allowed regions

Cause: rows `evacuate/NAME` weren't read, and lists of allowed regions had no effect. Ruled out: a second reader of the table `op`, which could be older than the configuration; more lines in PlatformGateway. ForwardingContext filters endpoints by allowed regions. StageOrders asks the directory right before each call to an engine.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -122,7 +122,7 @@
                      metrics,
                      log,
                      [this](WindowNumber window) { return isUsageStoredByAll(window); })
-    , stageOrders_(pool, sharedRows_.table(), lease_, settings.vmName, metrics, log)
+    , stageOrders_(pool, directory, sharedRows_.table(), lease_, settings.vmName, metrics, log)
     , liveness_(CoordinationIntervals{}.unresponsiveTimeout, GatewayReturnPeriod)
     , divider_(QuotaDividerOptions{})
 {
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -146,7 +146,7 @@
 
 std::vector<EndpointRecord> ForwardedRequest::usableEndpoints(TimePoint now) const
 {
-    return context_.endpoints.withUnits(context_.directory.usableEndpoints(request_.service->name, now), now);
+    return context_.endpoints.withUnits(context_.endpointsFor(request_.service->name, request_.allowedRegions, now), now);
 }
 
 void ForwardedRequest::sendWithinLimit(const EndpointRecord &endpoint, std::function<void()> send)
@@ -586,7 +586,7 @@
         sendOwnAnswer(timeLeft() <= Milliseconds::zero() ? GatewayTimeout : BadGateway, std::nullopt);
     } else {
         const TimePoint now = suspendAwareNow();
-        const auto endpoints = context_.directory.usableEndpoints(request_.service->name, now);
+        const auto endpoints = context_.endpointsFor(request_.service->name, request_.allowedRegions, now);
         refuseRequest(retryAfterDelay(context_.endpoints.waitForUnits(endpoints, now)));
     }
 }
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "allowedregions.h"
 #include "arrivalcounter.h"
 #include "attemptpolicy.h"
 #include "bytebudget.h"
@@ -33,6 +34,8 @@
     const Route *route = nullptr;
     const RoutedService *service = nullptr;
     RequestContent content;
+    /** By the route and by the customer. */
+    AllowedRegions allowedRegions;
     /** Empty where the route needs no key. */
     std::string customer;
     /** What it took of the customer's quota; refunded if the request did not run. */
@@ -53,7 +56,7 @@
     void recordPlacedWork(const Placement &placement);
     /** Takes a retry from the retry budget if this call is one. @return false if the budget is used up and the request was ended. */
     bool chargeRetryBudget(CallWork work);
-    /** The endpoints of the service that accept requests and whose limit, if they name one, may have units. */
+    /** The endpoints of the service that accept requests, are in an allowed region and whose limit, if they name one, may have units. */
     std::vector<EndpointRecord> usableEndpoints(TimePoint now) const;
     /** Calls @p send once the request has a unit of the endpoint's limit; without one the request goes to another endpoint or is refused.
      */
--- a/src/chestnutcove/forwardingcontext.cpp
+++ b/src/chestnutcove/forwardingcontext.cpp
@@ -25,6 +25,11 @@
     }
 }
 
+std::vector<EndpointRecord> ForwardingContext::endpointsFor(const std::string &service, const AllowedRegions &allowed, TimePoint now) const
+{
+    return allowed.permitted(directory.usableEndpoints(service, now), regions);
+}
+
 RetryBudget &ForwardingContext::retryBudget(const std::string &service)
 {
     const auto gateways = static_cast<double>(fleet.gatewayCount());
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "allowedregions.h"
 #include "bytebudget.h"
 #include "endpointadmission.h"
 #include "endpointdirectory.h"
@@ -23,6 +24,7 @@
 #include <map>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace Chestnutcove {
 
@@ -38,6 +40,7 @@
     EndpointLoads &loads;
     PlacementPolicy &placement;
     std::string dataCentre;
+    const RegionsByDataCentre &regions;
     FleetCoordinator &fleet;
     QuotaAdmission &quotas;
     EndpointAdmission &endpoints;
@@ -55,6 +58,8 @@
 
     /** Gives an answer of the gateway to each request that has none yet. */
     void endRequests();
+    /** The endpoints of a service that accept requests, in regions where the request may be processed. */
+    std::vector<EndpointRecord> endpointsFor(const std::string &service, const AllowedRegions &allowed, TimePoint now) const;
     RetryBudget &retryBudget(const std::string &service);
     /** Connections that this gateway may have open to one endpoint: its share of those that the endpoint accepts. */
     unsigned connectionLimit(const RoutedService &service) const;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -3,7 +3,6 @@
 #include "rendezvous.h"
 #include "requestdigest.h"
 #include "rowdecoder.h"
-#include "storeversion.h"
 #include "suspendclock.h"
 
 #include <asio/ip/address_v4.hpp>
@@ -25,13 +24,6 @@
 constexpr std::uint16_t MetricsPort = 9464;
 constexpr std::chrono::seconds MaxStoreConnectionAge{60};
 constexpr Milliseconds StoreTimeout{700};
-/** A connection to the store that went silent is noticed while the platform doesn't count this VM as in touch anyway. */
-constexpr Milliseconds LongPollMargin{1200};
-constexpr Milliseconds MinLongPoll{1000};
-/** Time that remains to confirm the configuration anew if a poll for changes is not answered. */
-constexpr Milliseconds ConfirmationMargin{1300};
-/** Time after the store's return from an older copy within which the operator has written the newest configuration again. */
-constexpr Milliseconds ConfigurationRewriteTime{2200};
 /** Endpoints register one after the other; their changes are collected for this long. */
 constexpr Milliseconds EndpointCoalescingPause{250};
 /** Bytes of a rejected write's answer that are logged. */
@@ -39,8 +31,6 @@
 constexpr Milliseconds SweepInterval{200};
 /** Time between two searches for what is left of endpoints that are gone. */
 constexpr Milliseconds ForgetInterval{10000};
-/** Keys are accepted only while the last confirmed read is younger than the bound of key revocation minus this margin. */
-constexpr Milliseconds RevocationMargin{700};
 constexpr Milliseconds NotReadyRetryAfter{300};
 /** Callers that a late gateway refuses come back after this many times its lateness. */
 constexpr int CatchUpFactor = 2;
@@ -74,19 +64,11 @@
 TableMirrorOptions endpointMirrorOptions(const Platform::PlatformSettings &settings)
 {
     TableMirrorOptions options;
-    options.longPollTimeout = std::max(MinLongPoll, settings.contactTime - LongPollMargin);
+    options.longPollTimeout = longPollTimeout(settings);
     options.coalescingPause = EndpointCoalescingPause;
     return options;
 }
 
-TableMirrorOptions configurationMirrorOptions(const Platform::PlatformSettings &settings)
-{
-    const Milliseconds freshness = settings.keyRevocation - RevocationMargin;
-    TableMirrorOptions options;
-    options.longPollTimeout = std::max(MinLongPoll, std::min(settings.contactTime - LongPollMargin, freshness - ConfirmationMargin));
-    return options;
-}
-
 }
 
 PlatformGateway::PlatformGateway(
@@ -98,13 +80,20 @@
     , incarnation_(incarnation)
     , httpClient_(context.get_executor(), MaxStoreConnectionAge)
     , table_(httpClient_, storeOptions())
-    , configurationFreshness_(settings_.keyRevocation - RevocationMargin)
-    , directory_({.drainTime = settings.drainDelay})
+    , directory_({.drainTime = settings_.drainDelay})
+    , operatorRows_(settings_, context, table_, directory_, metrics, log)
     , placement_(PlacementOptions{}, loads_)
     , pool_(context, EndpointPoolOptions{})
     , quotaLinks_(context, log)
     , quotas_(
-          context, settings_.vmName, incarnation_, quotaOptions(settings_), quotaLinks_, [this] { return catalogue_; }, metrics, log)
+          context,
+          settings_.vmName,
+          incarnation_,
+          quotaOptions(settings_),
+          quotaLinks_,
+          [this] { return operatorRows_.catalogue(); },
+          metrics,
+          log)
     , endpointAdmission_(
           context,
           settings_.vmName,
@@ -124,7 +113,7 @@
           quotaLinks_,
           quotas_.limits(),
           endpointAdmission_,
-          [this] { return catalogue_; },
+          [this] { return operatorRows_.catalogue(); },
           incarnation_,
           metrics_,
           log)
@@ -138,6 +127,7 @@
                   loads_,
                   placement_,
                   settings_.dataCentre,
+                  settings_.regions,
                   fleet_,
                   quotas_,
                   endpointAdmission_,
@@ -145,29 +135,6 @@
                   stopSchedule_,
                   settings_.retryRatio * RetryBudgetFraction,
                   settings_.retryReserve * RetryBudgetFraction}
-    , configurationMirror_(context,
-                           table_,
-                           log,
-                           Platform::OperatorTable,
-                           Platform::ConfigurationKey,
-                           std::string(Platform::ConfigurationKey) + '!',
-                           configurationMirrorOptions(settings_),
-                           {[this](const TableRows &rows) {
-                                if (const auto it = rows.find(Platform::ConfigurationKey); it != rows.end()) {
-                                    onConfiguration(it->second.value, it->second.version);
-                                }
-                            },
-                            [this](const auto &changes) {
-                                for (const auto &change : changes) {
-                                    if (change.value) {
-                                        configurationRestoredAt_.reset();
-                                        onConfiguration(*change.value, change.version);
-                                    }
-                                }
-                            },
-                            [this](TimePoint time) { onConfigurationConfirmed(time); },
-                            [](bool) {},
-                            [this] { configurationRestoredAt_ = suspendAwareNow(); }})
     , endpointMirror_(context,
                       table_,
                       log,
@@ -217,7 +184,7 @@
     if (!settings_.callerListen || !settings_.readinessListen) {
         return absl::InvalidArgumentError("platform settings: a gateway needs addresses to listen on for callers and for readiness");
     }
-    const auto limits = [this] { return catalogue_ ? catalogue_->limits() : CallerLimits{}; };
+    const auto limits = [this] { return operatorRows_.catalogue() ? operatorRows_.catalogue()->limits() : CallerLimits{}; };
     const auto defaultLimits = [] { return CallerLimits{}; };
     const auto onStatus = [this](const std::shared_ptr<CallerExchange> &exchange) { onStatusRequest(exchange); };
     try {
@@ -240,7 +207,7 @@
         log_.info("started", {{"callers", settings_.callerListen->text()}, {"incarnation", std::to_string(incarnation_)}});
     });
     eventLoopMonitor_.start();
-    configurationMirror_.start();
+    operatorRows_.start();
     endpointMirror_.start();
     fleet_.start();
     runEvery(SweepInterval, [this](TimePoint now) {
@@ -248,6 +215,7 @@
         readinessServer_->closeExpiredConnections(now);
         metricsServer_->closeExpiredConnections(now);
         pool_.closeExpiredConnections(now);
+        operatorRows_.tick(now);
         dropEndedEndpoints(now);
         fleet_.tick(now);
         tryFinishStop(now);
@@ -274,40 +242,6 @@
     (*startTimer)();
 }
 
-void PlatformGateway::onConfiguration(const std::string &value, std::uint64_t rowVersion)
-{
-    auto configuration = Platform::decodeConfiguration(value);
-    if (!configuration.ok()) {
-        log_.error("configuration unreadable", {{"reason", std::string(configuration.status().message())}});
-        return;
-    }
-    const bool isInForce = catalogue_ && configuration->version == catalogue_->version();
-    if (isInForce && StoreVersion::numberOf(rowVersion) != StoreVersion::numberOf(configurationRowVersion_)) {
-        // The operator has written it again since the store's return.
-        configurationRestoredAt_.reset();
-    }
-    // Versions only increase. A read whose result arrives late must not restore an older version.
-    if (catalogue_ && configuration->version <= catalogue_->version()) {
-        return;
-    }
-    log_.info("configuration in force",
-              {{"version", std::to_string(configuration->version)},
-               {"before", catalogue_ ? std::to_string(catalogue_->version()) : "none"},
-               {"routes", std::to_string(configuration->routes.size())},
-               {"customers", std::to_string(configuration->customers.size())}});
-    catalogue_ = std::make_shared<const RouteCatalogue>(std::move(*configuration));
-    configurationRowVersion_ = rowVersion;
-}
-
-void PlatformGateway::onConfigurationConfirmed(TimePoint time)
-{
-    // An older copy of the store may lack the newest configuration until the operator has written it again, so it proves nothing.
-    const bool mayBeOutOfDate = configurationRestoredAt_ && suspendAwareNow() - *configurationRestoredAt_ < ConfigurationRewriteTime;
-    if (catalogue_ && !mayBeOutOfDate) {
-        configurationFreshness_.recordRead(time);
-    }
-}
-
 std::optional<EndpointRecord> PlatformGateway::decodeEndpoint(const std::string &id, const std::string &value)
 {
     auto record = Platform::decodeEndpoint(id, value);
@@ -383,7 +317,7 @@
         refuseRequest(exchange, facts, Unavailable, "too many bytes of requests", BodiesRetryAfter);
         return;
     }
-    if (!catalogue_) {
+    if (!operatorRows_.catalogue()) {
         refuseRequest(exchange, facts, Unavailable, "no configuration yet", NotReadyRetryAfter);
         return;
     }
@@ -392,9 +326,10 @@
 
 void PlatformGateway::admitRequest(const std::shared_ptr<CallerExchange> &exchange, Platform::RequestMetadata facts)
 {
-    const bool mayDeny = isConfigurationNewEnoughToDeny();
+    const bool mayDeny = operatorRows_.isNewEnoughToDeny(suspendAwareNow());
     const HeaderField *host = findField(exchange->head().fields, "Host");
-    const Route *route = catalogue_->findRoute(host == nullptr ? "" : host->value, exchange->head().path());
+    const auto &catalogue = operatorRows_.catalogue();
+    const Route *route = catalogue->findRoute(host == nullptr ? "" : host->value, exchange->head().path());
     if (route == nullptr) {
         // With an old configuration the route may exist by now, so the caller is told to retry.
         refuseRequest(
@@ -407,20 +342,21 @@
         return;
     }
     AdmittedRequest request;
-    request.catalogue = catalogue_;
+    request.catalogue = catalogue;
     request.route = route;
-    request.service = chooseService(*catalogue_, *route, facts.requestId);
+    request.service = chooseService(*catalogue, *route, facts.requestId);
+    request.allowedRegions.restrictTo(route->allowedRegions);
     request.facts = std::move(facts);
     if (request.service == nullptr) {
         refuseRequest(exchange, request.facts, Unavailable, "route without a service", NotReadyRetryAfter);
         return;
     }
-    if (catalogue_->needsKeys() && !route->anonymous) {
-        if (!configurationFreshness_.isFresh(suspendAwareNow())) {
+    if (catalogue->needsKeys() && !route->anonymous) {
+        if (!operatorRows_.freshness().isFresh(suspendAwareNow())) {
             refuseRequest(exchange, request.facts, Unavailable, "keys not fresh", NotReadyRetryAfter);
             return;
         }
-        const CustomerQuota *customer = catalogue_->findCustomer(request.facts.key);
+        const CustomerQuota *customer = catalogue->findCustomer(request.facts.key);
         if (customer == nullptr) {
             refuseRequest(exchange,
                           request.facts,
@@ -430,6 +366,7 @@
             return;
         }
         request.customer = customer->name;
+        request.allowedRegions.restrictTo(customer->allowedRegions);
         if (refuseCrashingRequest(exchange, request)) {
             return;
         }
@@ -443,12 +380,6 @@
     forwardRequest(exchange, std::move(request));
 }
 
-bool PlatformGateway::isConfigurationNewEnoughToDeny() const
-{
-    const auto age = configurationFreshness_.age(suspendAwareNow());
-    return age && *age <= std::min<Duration>(settings_.configurationDelay, settings_.keyRevocation - RevocationMargin);
-}
-
 bool PlatformGateway::refuseCrashingRequest(const std::shared_ptr<CallerExchange> &exchange, AdmittedRequest &request)
 {
     request.content
@@ -548,27 +479,23 @@
                                     std::string_view reason,
                                     std::optional<Milliseconds> retryAfter)
 {
-    const auto age = configurationFreshness_.age(suspendAwareNow());
+    const auto &catalogue = operatorRows_.catalogue();
+    const auto age = operatorRows_.freshness().age(suspendAwareNow());
     exchange->sendResponse(Platform::encodeGatewayResponse(status, facts.requestId, retryAfter), "");
     metrics_.counter("refused_total{reason=\"" + std::string(reason) + "\"}").add();
     log_.info("request refused",
               {{"request", facts.requestId},
                {"status", std::to_string(status)},
                {"reason", std::string(reason)},
-               {"catalogueVersion", catalogue_ ? std::to_string(catalogue_->version()) : "none"},
+               {"catalogueVersion", catalogue ? std::to_string(catalogue->version()) : "none"},
                {"proofAgeMs", age ? std::to_string(std::chrono::duration_cast<Milliseconds>(*age).count()) : "none"}});
 }
 
 bool PlatformGateway::isReady(TimePoint now) const
 {
-    return !stopSchedule_.isStopping() && catalogue_ && configurationFreshness_.isFresh(now)
-        && (!hasQuotas() || quotas_.limits().isReady());
-}
-
-bool PlatformGateway::hasQuotas() const
-{
-    const auto &customers = catalogue_->customers();
-    return std::any_of(customers.begin(), customers.end(), [](const auto &customer) { return customer.rate > 0; });
+    const auto &catalogue = operatorRows_.catalogue();
+    return !stopSchedule_.isStopping() && catalogue && operatorRows_.freshness().isFresh(now)
+        && (!catalogue->hasQuotas() || quotas_.limits().isReady());
 }
 
 void PlatformGateway::onStatusRequest(const std::shared_ptr<CallerExchange> &exchange)
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -18,11 +18,11 @@
 #include "loadshedder.h"
 #include "log.h"
 #include "metrics.h"
+#include "operatorrows.h"
 #include "placement.h"
 #include "platformsettings.h"
 #include "quotaadmission.h"
 #include "quotalinks.h"
-#include "readfreshness.h"
 #include "stopschedule.h"
 #include "storeformat.h"
 #include "tablemirror.h"
@@ -62,11 +62,7 @@
 
 private:
     PlatformOptions storeOptions();
-    /** The configuration that was read last was still the stored one at @p time. */
-    void onConfigurationConfirmed(TimePoint time);
     void runEvery(Milliseconds interval, std::function<void(TimePoint)> action);
-    /** @param rowVersion of the row that was read. */
-    void onConfiguration(const std::string &value, std::uint64_t rowVersion);
     void onEndpointRows(const TableRows &rows, TimePoint now);
     void onEndpointChanges(const std::vector<TableChanges::Change> &changes, TimePoint now);
     std::optional<EndpointRecord> decodeEndpoint(const std::string &id, const std::string &value);
@@ -76,9 +72,6 @@
 
     void onRequest(const std::shared_ptr<CallerExchange> &exchange);
     void admitRequest(const std::shared_ptr<CallerExchange> &exchange, Platform::RequestMetadata facts);
-    /** Whether a newer configuration would be known if there had been time enough for it, so that routes and keys may be said not to exist.
-     */
-    bool isConfigurationNewEnoughToDeny() const;
     void refuseRequest(const std::shared_ptr<CallerExchange> &exchange,
                        const Platform::RequestMetadata &facts,
                        int status,
@@ -98,7 +91,6 @@
     const RoutedService *chooseService(const RouteCatalogue &catalogue, const Route &route, const std::string &requestId) const;
     void onStatusRequest(const std::shared_ptr<CallerExchange> &exchange);
     bool isReady(TimePoint now) const;
-    bool hasQuotas() const;
     void tryFinishStop(TimePoint now);
 
     Platform::PlatformSettings settings_;
@@ -110,14 +102,8 @@
     HttpClient httpClient_;
     std::shared_ptr<SeenEra> seenEra_ = std::make_shared<SeenEra>();
     PlatformTable table_;
-    /** Null until the first configuration was read. */
-    std::shared_ptr<const RouteCatalogue> catalogue_;
-    /** The version of the row from which it was read first. */
-    std::uint64_t configurationRowVersion_ = 0;
-    ReadFreshness configurationFreshness_;
-    /** Set while the store holds an older copy of the configuration, or may do so; see onConfigurationConfirmed(). */
-    std::optional<TimePoint> configurationRestoredAt_;
     EndpointDirectory directory_;
+    OperatorRows operatorRows_;
     EndpointLoads loads_;
     PlacementPolicy placement_;
     EndpointPool pool_;
@@ -128,7 +114,6 @@
     StopSchedule stopSchedule_;
     ByteBudget keptAnswers_;
     ForwardingContext forwarding_;
-    TableMirror<PlatformTable> configurationMirror_;
     TableMirror<PlatformTable> endpointMirror_;
     EventLoopMonitor eventLoopMonitor_;
     LoadShedder loadShedder_{LoadShedderOptions{}};
--- a/src/chestnutcove/stageorders.cpp
+++ b/src/chestnutcove/stageorders.cpp
@@ -25,12 +25,14 @@
 }
 
 StageOrders::StageOrders(EndpointPool &pool,
+                         const EndpointDirectory &directory,
                          PlatformTable &table,
                          const BasicDutyLease<PlatformTable> &lease,
                          std::string holder,
                          Metrics &metrics,
                          const Log &log)
     : pool_(pool)
+    , directory_(directory)
     , table_(table)
     , lease_(lease)
     , holder_(std::move(holder))
@@ -185,8 +187,9 @@
             onDone(0, "");
             return;
         }
-        // The lease may have expired while the connection was made, so it is checked again right before the call is sent.
-        if (!lease_.keeper().mayAct(suspendAwareNow())) {
+        // The lease may have expired, or the engine been evacuated, since the change was planned, so both are checked right before the
+        // call.
+        if (!lease_.keeper().mayAct(suspendAwareNow()) || directory_.isEvacuated(engine)) {
             pool_.release(engine, *connection);
             onDone(0, "");
             return;
--- a/src/chestnutcove/stageorders.h
+++ b/src/chestnutcove/stageorders.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "dutylease.h"
+#include "endpointdirectory.h"
 #include "endpointpool.h"
 #include "metrics.h"
 #include "platformtable.h"
@@ -22,7 +23,9 @@
 class StageOrders
 {
 public:
+    /** @param directory says which engines get no orders, since their data centre is evacuated. */
     StageOrders(EndpointPool &pool,
+                const EndpointDirectory &directory,
                 PlatformTable &table,
                 const BasicDutyLease<PlatformTable> &lease,
                 std::string holder,
@@ -65,6 +68,7 @@
                     std::function<void(int status, const std::string &body)> onDone);
 
     EndpointPool &pool_;
+    const EndpointDirectory &directory_;
     PlatformTable &table_;
     const BasicDutyLease<PlatformTable> &lease_;
     std::string holder_;
--- a/src/libroutes/routecatalogue.cpp
+++ b/src/libroutes/routecatalogue.cpp
@@ -63,4 +63,9 @@
     return !data_.customers.empty();
 }
 
+bool RouteCatalogue::hasQuotas() const
+{
+    return std::any_of(data_.customers.begin(), data_.customers.end(), [](const auto &customer) { return customer.rate > 0; });
+}
+
 }
--- a/src/libroutes/routecatalogue.h
+++ b/src/libroutes/routecatalogue.h
@@ -147,6 +147,8 @@
     const CustomerQuota *findCustomer(const std::string &key) const;
     /** Whether callers need an API key on routes that are not anonymous. */
     bool needsKeys() const;
+    /** Whether any customer has a limit. */
+    bool hasQuotas() const;
 
 private:
     RouteCatalogueData data_;
--- a/tests/processes/usersplatformfixture.h
+++ b/tests/processes/usersplatformfixture.h
@@ -46,7 +46,9 @@
         return network + std::to_string(getpid() / 250 % 250) + '.' + std::to_string(getpid() % 250 + 1);
     }
 
-    std::unique_ptr<TestProcess> startGateway(const std::string &vm, const std::string &ip, int revocationMs = 2000)
+    /** @param moreSettings whole lines that follow the usual ones. */
+    std::unique_ptr<TestProcess>
+    startGateway(const std::string &vm, const std::string &ip, int revocationMs = 2000, const std::string &moreSettings = "")
     {
         const std::string store = "127.0.0.1:" + std::to_string(platform_.port("port"));
         const std::string file = testing::TempDir() + "usersplatform-" + vm + '-' + std::to_string(getpid()) + ".conf";
@@ -54,7 +56,8 @@
                             << ":0\nplatform.address=" << store << "\ncloud.address=" << store
                             << "\ncloud.duties=usage_report\nbounds.revoke_ms=" << revocationMs
                             << "\nbounds.usage_window_s=1\nbounds.usage_late_s=4\nbounds."
-                               "retry_budget_slack=50\n";
+                               "retry_budget_slack=50\n"
+                            << moreSettings;
         return std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--platform"}, "CHESTNUTCOVE_BOOT", file);
     }
 
@@ -63,6 +66,11 @@
         callAdmin("/admin/row", {{"table", table}, {"key", key}, {"value", value}});
     }
 
+    void removeRow(const std::string &table, const std::string &key)
+    {
+        callAdmin("/admin/remove", {{"table", table}, {"key", key}});
+    }
+
     void putConfiguration(int version, const std::vector<std::string> &keys, int ratePerSecond = 1000, int burst = 1000)
     {
         const auto route = [](const char *prefix, bool anonymous) {
--- a/tests/standins/usersplatform.cpp
+++ b/tests/standins/usersplatform.cpp
@@ -173,6 +173,9 @@
         rows_[{body["table"].get<std::string>(), body["key"].get<std::string>()}]
             = Row{absl::Base64Escape(body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump()), ++lastVersion_};
         answerFeeds(std::chrono::steady_clock::now());
+    } else if (request.path == "/admin/remove") {
+        rows_[{body["table"].get<std::string>(), body["key"].get<std::string>()}] = Row{"", ++lastVersion_, true};
+        answerFeeds(std::chrono::steady_clock::now());
     } else if (request.path == "/admin/copy") {
         copy_ = {rows_, lastVersion_};
     } else if (request.path == "/admin/restore") {
