RowDecoder, RequestCodec, PlatformSettings: decode what is stated of cold endpoints

Services may state the requests a second that a cold endpoint tolerates and for how long it is cold, answers may state the time left, and the settings the bound over all gateways. The rate is passed on as stated, since the decoder has no log; whoever applies it ignores negative values.

--- a/src/libroutes/routecatalogue.h
+++ b/src/libroutes/routecatalogue.h
@@ -89,6 +89,10 @@
     std::string healthPath;
     /** Maximum number of connections that one endpoint accepts from all its clients together; 0 for no limit. */
     unsigned maxConnections = 0;
+    /** Requests a second that one cold endpoint tolerates, as the configuration states it; none unless it is finite and above 0. */
+    double coldStartRate = 0;
+    /** Time for which an endpoint is cold after it starts. */
+    Duration coldStartTime{};
     /** Set for services of model engines only. */
     std::optional<EngineTraits> engine;
     /** Set if the number of endpoints can be scaled. */
--- a/tests/usersplatform/decoders_test.cpp
+++ b/tests/usersplatform/decoders_test.cpp
@@ -127,6 +127,36 @@
     EXPECT_EQ(catalogue.limits().idleTimeout, Milliseconds(400));
 }
 
+// Guards against bounds that are left at their defaults although the settings state them.
+TEST(PlatformSettings, BoundsOfColdEndpoints_Parsed_AreThoseStatedOrTheDefaults)
+{
+    EXPECT_EQ(parseSettings(Settings)->coldOverage, 1.5);
+    EXPECT_EQ(parseSettings(Settings)->coldAllowance, 5);
+    const auto settings = parseSettings(std::string(Settings) + "bounds.cold_over=2\nbounds.cold_slack=7\n");
+    ASSERT_TRUE(settings.ok());
+    EXPECT_EQ(settings->coldOverage, 2);
+    EXPECT_EQ(settings->coldAllowance, 7);
+    EXPECT_FALSE(parseSettings(std::string(Settings) + "bounds.cold_over=-1\n").ok());
+}
+
+// Guards against a cold endpoint that gets requests without a limit, since the service's figures were not read or were taken for a limit
+// of an older deployment.
+TEST(Configuration, ServiceStatesColdRate_Decoded_YieldsRateAndTimeAndNoneByDefault)
+{
+    auto configuration = nlohmann::json::parse(Configuration);
+    configuration["services"][0]["cold_per_s"] = 34;
+    configuration["services"][0]["cold_s"] = 3;
+    configuration["services"][1]["cold_per_s"] = "many";
+    configuration["services"][1]["cold_s"] = -1;
+    const auto decoded = decodeConfiguration(configuration.dump());
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(decoded->services[0].coldStartRate, 34);
+    EXPECT_EQ(decoded->services[0].coldStartTime, Duration(std::chrono::seconds(3)));
+    EXPECT_EQ(decoded->services[1].coldStartRate, 0);
+    EXPECT_EQ(decoded->services[1].coldStartTime, Duration::zero());
+    EXPECT_EQ(decodeConfiguration(Configuration)->services[0].coldStartRate, 0);
+}
+
 TEST(Configuration, NoObjectOrNoVersion_Decoded_YieldsError)
 {
     EXPECT_FALSE(decodeConfiguration("").ok());
@@ -275,6 +305,19 @@
     }
 }
 
+// Guards against an endpoint that became cold and isn't known to be, or one that is taken to be cold for ever.
+TEST(Response, StatesColdTime_Decoded_IsNonNegativeAndBounded)
+{
+    EXPECT_EQ(decodeResponse({200, "", {{"Cold-Ms", "2400"}}}).coldStartRemaining, Milliseconds(2400));
+    EXPECT_EQ(decodeResponse({503, "", {{"cold-ms", " 0 "}}}).coldStartRemaining, Milliseconds(0));
+    EXPECT_EQ(decodeResponse({200, "", {{"Cold-Ms", "0.4"}}}).coldStartRemaining, Milliseconds(1));
+    EXPECT_FALSE(decodeResponse({200, "", {}}).coldStartRemaining);
+    for (const char *text : {"", "long", "-1", "inf", "nan", "1e999"}) {
+        EXPECT_FALSE(decodeResponse({200, "", {{"Cold-Ms", text}}}).coldStartRemaining) << text;
+    }
+    EXPECT_LE(decodeResponse({200, "", {{"Cold-Ms", "1e300"}}}).coldStartRemaining, std::chrono::hours(1));
+}
+
 TEST(Response, GatewayRefusal_Encoded_HasRequestIdAndRetryAfter)
 {
     const auto head = encodeGatewayResponse(503, "a1", Milliseconds(250));
