EndpointAdmission: requests for cold endpoints take a unit and count from their send

Cold endpoints are limited in the place where the limits that endpoints name are. The unit is checked once more right before the send, since the endpoint may have become cold, or the gateway's share may have fallen, while the request waited for a connection. A unit that isn't used for a send is given back. Entries, answers, the catalogue and the division are passed on to ColdStarts; services without a rate are not looked at.

Ruled out: counting units from the time at which they are taken.

--- a/src/chestnutcove/endpointadmission.cpp
+++ b/src/chestnutcove/endpointadmission.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace Chestnutcove {
@@ -22,11 +24,15 @@
                                      std::string vm,
                                      std::uint64_t incarnation,
                                      QuotaLinks &links,
+                                     ColdBounds coldBounds,
                                      ClockReader storeClock,
                                      Metrics &metrics,
                                      const Log &log)
-    : storeClock_(std::move(storeClock))
+    : coldBounds_(coldBounds)
+    , storeClock_(std::move(storeClock))
     , log_(log)
+    , heldFromCold_(metrics.counter("requests_held_from_cold_endpoints_total"))
+    , coldStarts_(ColdShares(vm, QuotaShareOptions{}.maxAge))
     , limits_(context,
               std::move(vm),
               incarnation,
@@ -41,6 +47,81 @@
               log)
 {
     metrics.gauge("limited_endpoints", [this] { return static_cast<double>(known_.limitedRuns()); });
+    metrics.gauge("cold_endpoints", [this] { return static_cast<double>(coldStarts_.coldRuns(suspendAwareNow())); });
+}
+
+void EndpointAdmission::onCatalogue(const RouteCatalogue &catalogue)
+{
+    std::map<std::string, ColdService> services;
+    for (const RoutedService &service : catalogue.services()) {
+        if (!std::isfinite(service.coldStartRate) || service.coldStartRate < 0) {
+            log_.warning("rate of cold endpoints is ignored",
+                         {{"service", service.name}, {"perSecond", absl::StrFormat("%g", service.coldStartRate)}});
+        } else if (service.coldStartRate > 0) {
+            services.emplace(service.name, coldServiceOf(service));
+        }
+    }
+    coldStarts_.setServices(std::move(services));
+    const auto &customers = catalogue.customers();
+    coldStarts_.shares().setDivisionRequired(
+        std::any_of(customers.begin(), customers.end(), [](const auto &customer) { return customer.rate > 0; }));
+}
+
+ColdService EndpointAdmission::coldServiceOf(const RoutedService &service) const
+{
+    const double bound = service.coldStartRate * coldBounds_.overage + coldBounds_.allowance;
+    if (!(service.coldStartRate <= bound)) {
+        log_.warning("rate of cold endpoints is above its bound, which is used instead",
+                     {{"service", service.name},
+                      {"perSecond", absl::StrFormat("%g", service.coldStartRate)},
+                      {"bound", absl::StrFormat("%g", bound)}});
+    }
+    const double usable = std::isfinite(bound) ? bound : service.coldStartRate;
+    return {{std::min(service.coldStartRate, usable), usable}, service.coldStartTime};
+}
+
+void EndpointAdmission::onAllEntries(const std::vector<EndpointRecord> &records, TimePoint now)
+{
+    coldStarts_.onAllEntries(records, now);
+}
+
+void EndpointAdmission::onEntry(const EndpointRecord &record, TimePoint now)
+{
+    coldStarts_.onEntry(record, now);
+}
+
+void EndpointAdmission::onDataCentreReleased(const std::string &dataCentre, TimePoint now)
+{
+    coldStarts_.onDataCentreReleased(dataCentre, now);
+}
+
+void EndpointAdmission::onDivisionRead(const QuotaDivision &division, TimePoint readAt)
+{
+    coldStarts_.shares().onDivisionRead(division, readAt, suspendAwareNow());
+}
+
+void EndpointAdmission::onDivisionConfirmed(TimePoint readAt)
+{
+    coldStarts_.shares().onDivisionConfirmed(readAt);
+}
+
+void EndpointAdmission::tick(TimePoint now)
+{
+    for (const auto &change : coldStarts_.takeChanges(now)) {
+        const auto ms = std::chrono::duration_cast<Milliseconds>(change.remaining);
+        log_.info(change.isCold ? "endpoint is cold" : "endpoint is warm",
+                  {{"endpoint", change.run}, {"service", change.service}, {"remainingMs", std::to_string(ms.count())}});
+    }
+}
+
+const ColdStarts &EndpointAdmission::coldStarts() const
+{
+    return coldStarts_;
+}
+
+void EndpointAdmission::recordHeld()
+{
+    heldFromCold_.add();
 }
 
 LimitAdmission &EndpointAdmission::limits()
@@ -80,6 +161,9 @@
 
 void EndpointAdmission::onAnswer(const OutgoingCall &call)
 {
+    if (call.answer.coldStartRemaining && !call.answer.wrongEndpoint) {
+        coldStarts_.onAnswer(call.endpoint, *call.answer.coldStartRemaining, suspendAwareNow());
+    }
     const auto &limit = call.answer.requestsPerSecond;
     // Only an answer to work that was done proves that a limit has ended; refusals may leave it out.
     if (call.answer.wrongEndpoint || (!limit && !call.isSuccess())) {
@@ -114,6 +198,7 @@
     known_.removeStale(suspendAwareNow());
     answers_.erase(run);
     limits_.remove(run);
+    coldStarts_.remove(endpoint, suspendAwareNow());
 }
 
 std::map<std::string, EndpointLimits::Observation> EndpointAdmission::recentLimits(TimePoint now) const
@@ -123,25 +208,38 @@
 
 bool EndpointAdmission::isLimited(const EndpointRecord &endpoint) const
 {
-    return known_.limitedRuns() > 0 && known_.find(EndpointLimits::runOf(endpoint)) != nullptr;
+    const bool namesLimit = known_.limitedRuns() > 0 && known_.find(EndpointLimits::runOf(endpoint)) != nullptr;
+    return namesLimit || coldStarts_.isCold(endpoint, suspendAwareNow());
 }
 
-std::vector<EndpointRecord> EndpointAdmission::withUnits(std::vector<EndpointRecord> endpoints, TimePoint now) const
+std::vector<EndpointRecord> EndpointAdmission::withUnits(std::vector<EndpointRecord> endpoints, TimePoint now)
 {
     if (known_.limitedRuns() > 0) {
         std::erase_if(endpoints, [&](const EndpointRecord &each) { return now < known_.usedUpUntil(EndpointLimits::runOf(each)); });
     }
+    if (!coldStarts_.mayAnyBeCold(now)) {
+        return endpoints;
+    }
+    if (std::erase_if(endpoints, [&](const EndpointRecord &each) { return !coldStarts_.mayTake(each, now); }) > 0) {
+        recordHeld();
+    }
     return endpoints;
 }
 
+TimePoint EndpointAdmission::usedUpUntil(const EndpointRecord &endpoint, TimePoint now) const
+{
+    return std::max(known_.usedUpUntil(EndpointLimits::runOf(endpoint)), coldStarts_.nextUnitAt(endpoint, now));
+}
+
 Duration EndpointAdmission::waitForUnits(const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
-    if (known_.limitedRuns() == 0 || endpoints.empty()) {
+    const bool isAnyLimited = known_.limitedRuns() > 0 || coldStarts_.mayAnyBeCold(now);
+    if (!isAnyLimited || endpoints.empty()) {
         return Duration::zero();
     }
     std::map<std::optional<EngineStage>, TimePoint> earliest;
     for (const EndpointRecord &each : endpoints) {
-        const TimePoint until = known_.usedUpUntil(EndpointLimits::runOf(each));
+        const TimePoint until = usedUpUntil(each, now);
         const auto [it, isNew] = earliest.emplace(each.stage, until);
         it->second = std::min(it->second, until);
     }
@@ -157,36 +255,77 @@
     const std::string run = EndpointLimits::runOf(endpoint);
     const RateLimit *limit = known_.find(run);
     if (limit == nullptr) {
-        onDecided(LimitCharge{});
+        takeColdUnit(endpoint, {}, onDecided);
         return 0;
     }
-    return limits_.admit(
-        *limit, 1, [this, run, onDecided = std::move(onDecided)](const QuotaVerdict &verdict) { onVerdict(run, verdict, onDecided); });
+    return limits_.admit(*limit, 1, [this, endpoint, onDecided = std::move(onDecided)](const QuotaVerdict &verdict) {
+        onVerdict(endpoint, verdict, onDecided);
+    });
 }
 
-void EndpointAdmission::onVerdict(const std::string &run, const QuotaVerdict &verdict, const UnitHandler &onDecided)
+void EndpointAdmission::onVerdict(const EndpointRecord &endpoint, const QuotaVerdict &verdict, const UnitHandler &onDecided)
 {
+    const std::string run = EndpointLimits::runOf(endpoint);
     if (verdict.result == QuotaVerdict::Result::Admitted) {
-        onDecided(LimitCharge{run, verdict.lots});
+        takeColdUnit(endpoint, {{run, verdict.lots}, ""}, onDecided);
         return;
     }
     if (known_.find(run) == nullptr) {
         // The limit has ended meanwhile, which is why the others hold no share of it.
-        onDecided(LimitCharge{});
+        takeColdUnit(endpoint, {}, onDecided);
         return;
     }
     known_.onUsedUp(run, suspendAwareNow() + EndpointLimits::pauseAfter(verdict));
     onDecided(std::nullopt);
 }
 
+void EndpointAdmission::takeColdUnit(const EndpointRecord &endpoint, EndpointUnit unit, const UnitHandler &onDecided)
+{
+    std::optional<EndpointUnit> taken(std::move(unit));
+    if (confirmUnit(endpoint, taken, suspendAwareNow())) {
+        onDecided(std::move(taken));
+        return;
+    }
+    returnUnit(*taken);
+    onDecided(std::nullopt);
+}
+
+bool EndpointAdmission::confirmUnit(const EndpointRecord &endpoint, std::optional<EndpointUnit> &unit, TimePoint now)
+{
+    if (!coldStarts_.isCold(endpoint, now)) {
+        return true;
+    }
+    const std::string run = ColdStarts::runOf(endpoint);
+    const bool hasUnit = unit && unit->coldRun == run;
+    if (hasUnit ? !coldStarts_.maySendTaken(endpoint, now) : !coldStarts_.take(endpoint, now)) {
+        recordHeld();
+        return false;
+    }
+    if (!unit) {
+        unit.emplace();
+    }
+    unit->coldRun = run;
+    return true;
+}
+
+void EndpointAdmission::onSent(const EndpointUnit &unit, TimePoint now)
+{
+    if (!unit.coldRun.empty()) {
+        coldStarts_.onSent(unit.coldRun, now);
+    }
+}
+
 void EndpointAdmission::cancel(std::uint64_t id)
 {
     limits_.cancel(id);
 }
 
-void EndpointAdmission::returnUnit(const LimitCharge &unit)
+void EndpointAdmission::returnUnit(const EndpointUnit &unit)
 {
-    limits_.refund(unit);
+    limits_.refund(unit.charge);
+    if (!unit.coldRun.empty()) {
+        coldStarts_.giveBack(unit.coldRun);
+    }
 }
 
 }
--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -73,6 +73,7 @@
     , table_(table)
     , directory_(directory)
     , links_(links)
+    , endpoints_(endpoints)
     , limits_{&quotas, &endpoints.limits()}
     , catalogue_(std::move(catalogue))
     , incarnation_(incarnation)
@@ -152,6 +153,7 @@
     sharedRows_.tick(now);
     crashReporter_.tick(now);
     limitReporter_.tick(now);
+    endpoints_.tick(now);
     updateIntervals(now);
     if (now >= nextLeaseReadAt_) {
         nextLeaseReadAt_ = now + intervals_.leaseRead;
@@ -227,6 +229,7 @@
     for (LimitAdmission *each : limits_) {
         each->onDivisionRead(division, readAt);
     }
+    endpoints_.onDivisionRead(division, readAt);
     if (isNew) {
         log_.info("division of quotas seen",
                   {{"number", std::to_string(division.number)},
@@ -240,6 +243,7 @@
     for (LimitAdmission *each : limits_) {
         each->onDivisionConfirmed(readAt);
     }
+    endpoints_.onDivisionConfirmed(readAt);
 }
 
 void FleetCoordinator::onNoDivisionStored()
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -105,6 +105,7 @@
     PlatformTable &table_;
     EndpointDirectory &directory_;
     QuotaLinks &links_;
+    EndpointAdmission &endpoints_;
     /** All that apply the division of limits. */
     std::vector<LimitAdmission *> limits_;
     CatalogueReader catalogue_;
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -157,7 +157,7 @@
     }
     const auto isDecided = std::make_shared<bool>(false);
     const auto id = context_.endpoints.takeUnit(
-        endpoint, [self = shared_from_this(), isDecided, endpoint, send = std::move(send)](std::optional<LimitCharge> unit) {
+        endpoint, [self = shared_from_this(), isDecided, endpoint, send = std::move(send)](std::optional<EndpointUnit> unit) {
             *isDecided = true;
             self->pendingUnit_.reset();
             self->unit_ = std::move(unit);
@@ -280,9 +280,11 @@
     });
 }
 
-bool ForwardedRequest::mustNotSendTo(const EndpointRecord &endpoint) const
+bool ForwardedRequest::mustNotSendTo(const EndpointRecord &endpoint)
 {
-    return timeLeft() <= Milliseconds::zero() || !context_.directory.isUsable(endpoint, suspendAwareNow());
+    const TimePoint now = suspendAwareNow();
+    const bool mayServe = timeLeft() > Milliseconds::zero() && context_.directory.isUsable(endpoint, now);
+    return !mayServe || !context_.endpoints.confirmUnit(endpoint, unit_, now);
 }
 
 void ForwardedRequest::sendOverConnection(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingMetadata &given)
@@ -291,7 +293,9 @@
     facts.timeLeft = timeLeft();
     call_->connection = connection;
     lastSentAt_ = suspendAwareNow();
-    unit_.reset();
+    if (unit_) {
+        context_.endpoints.onSent(*std::exchange(unit_, std::nullopt), lastSentAt_);
+    }
     ConnectionCall call;
     call.head = Platform::encodeRequest(exchange_->head(), facts);
     call.body = exchange_->body();
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -89,7 +89,7 @@
     /** Sends the request to a decode engine that takes over the held prompt. @return false if no engine can take it. */
     bool sendRunWithHeldPrompt();
     /** Checked once there is a connection: whether the deadline has passed or the endpoint accepts no more requests. */
-    bool mustNotSendTo(const EndpointRecord &endpoint) const;
+    bool mustNotSendTo(const EndpointRecord &endpoint);
     /** Ends a request that has no endpoint's answer to forward: a refusal if it certainly did not run, otherwise a failure. */
     void endWithoutEndpointAnswer();
     void refuseRequest(Milliseconds retryAfter);
@@ -119,7 +119,7 @@
     /** Set while a unit of an endpoint's limit is asked for. */
     std::optional<std::uint64_t> pendingUnit_;
     /** The unit of the call that is about to be sent. */
-    std::optional<LimitCharge> unit_;
+    std::optional<EndpointUnit> unit_;
     /** Set while a prefill engine holds the prompt of this request. */
     std::optional<Platform::PrefilledPrompt> heldPrompt_;
     std::optional<EndpointRecord> heldPromptEngine_;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -110,6 +110,7 @@
           settings_.vmName,
           incarnation_,
           quotaLinks_,
+          ColdBounds{settings_.coldOverage, settings_.coldAllowance},
           [this]() -> const RemoteClock & { return fleet_.storeClock(); },
           metrics,
           log)
@@ -297,6 +298,7 @@
                {"customers", std::to_string(configuration->customers.size())}});
     catalogue_ = std::make_shared<const RouteCatalogue>(std::move(*configuration));
     configurationRowVersion_ = rowVersion;
+    endpointAdmission_.onCatalogue(*catalogue_);
 }
 
 void PlatformGateway::onConfigurationConfirmed(TimePoint time)
@@ -329,6 +331,7 @@
             records.push_back(std::move(*record));
         }
     }
+    endpointAdmission_.onAllEntries(records, now);
     directory_.replaceAll(records, now);
     dropEndedEndpoints(now);
 }
@@ -339,6 +342,7 @@
     for (const auto &change : changes) {
         const auto record = change.value ? decodeEndpoint(change.key, *change.value) : std::nullopt;
         if (record) {
+            endpointAdmission_.onEntry(*record, now);
             directory_.onRegistered(*record);
             std::erase(missing, change.key);
         } else {
