--- a/src/chestnutcove/operatorrows.cpp
+++ b/src/chestnutcove/operatorrows.cpp
@@ -44,11 +44,11 @@
                            EndpointDirectory &directory,
                            Metrics &metrics,
                            const Log &log,
-                           Evacuations::ReleaseHandler onReleased)
+                           Handlers handlers)
     : settings_(settings)
     , directory_(directory)
     , log_(log)
-    , releaseHandler_(std::move(onReleased))
+    , handlers_(std::move(handlers))
     , freshness_(maxReadAge(settings))
     , evacuations_({.rewriteTime = RewriteTime},
                    [this](const auto &dataCentre, TimePoint now, Duration lasted) { this->onReleased(dataCentre, now, lasted); })
@@ -166,6 +166,7 @@
                {"routes", std::to_string(configuration->routes.size())},
                {"customers", std::to_string(configuration->customers.size())}});
     catalogue_ = std::make_shared<const RouteCatalogue>(std::move(*configuration));
+    handlers_.onCatalogue(*catalogue_);
     configurationRowVersion_ = rowVersion;
 }
 
@@ -174,9 +175,7 @@
     if (isKnown(dataCentre)) {
         log_.info("data centre taken back", {{"evacuated", dataCentre}, {"sinceReadMs", millisecondsText(lasted)}});
     }
-    if (releaseHandler_) {
-        releaseHandler_(dataCentre, now, lasted);
-    }
+    handlers_.onReleased(dataCentre, now, lasted);
 }
 
 void OperatorRows::applyEvacuations(TimePoint readAt)
--- a/src/chestnutcove/operatorrows.h
+++ b/src/chestnutcove/operatorrows.h
@@ -17,6 +17,7 @@
 #include <asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -27,14 +28,21 @@
 class OperatorRows
 {
 public:
-    /** @param onReleased is called before the endpoints of a data centre that is taken back are usable again; may be empty. */
+    struct Handlers
+    {
+        /** Called with each configuration as it comes into force. */
+        std::function<void(const RouteCatalogue &catalogue)> onCatalogue;
+        /** Called before the endpoints of a data centre that is taken back are usable again. */
+        Evacuations::ReleaseHandler onReleased;
+    };
+
     OperatorRows(const Platform::PlatformSettings &settings,
                  asio::io_context &context,
                  PlatformTable &table,
                  EndpointDirectory &directory,
                  Metrics &metrics,
                  const Log &log,
-                 Evacuations::ReleaseHandler onReleased = nullptr);
+                 Handlers handlers);
 
     void start();
     /** To be called several times a second. */
@@ -68,7 +76,7 @@
     const Platform::PlatformSettings &settings_;
     EndpointDirectory &directory_;
     const Log &log_;
-    Evacuations::ReleaseHandler releaseHandler_;
+    Handlers handlers_;
 
     std::shared_ptr<const RouteCatalogue> catalogue_;
     /** The version of the row from which it was read first. */
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -81,7 +81,15 @@
     , httpClient_(context.get_executor(), MaxStoreConnectionAge)
     , table_(httpClient_, storeOptions())
     , directory_({.drainTime = settings_.drainDelay})
-    , operatorRows_(settings_, context, table_, directory_, metrics, log)
+    , operatorRows_(
+          settings_,
+          context,
+          table_,
+          directory_,
+          metrics,
+          log,
+          {[this](const RouteCatalogue &catalogue) { endpointAdmission_.onCatalogue(catalogue); },
+           [this](const std::string &dataCentre, TimePoint now, Duration) { endpointAdmission_.onDataCentreReleased(dataCentre, now); }})
     , placement_(PlacementOptions{}, loads_)
     , pool_(context, EndpointPoolOptions{})
     , quotaLinks_(context, log)
@@ -99,6 +107,7 @@
           settings_.vmName,
           incarnation_,
           quotaLinks_,
+          ColdBounds{settings_.coldOverage, settings_.coldAllowance},
           [this]() -> const RemoteClock & { return fleet_.storeClock(); },
           metrics,
           log)
@@ -263,6 +272,7 @@
             records.push_back(std::move(*record));
         }
     }
+    endpointAdmission_.onAllEntries(records, now);
     directory_.replaceAll(records, now);
     dropEndedEndpoints(now);
 }
@@ -273,6 +283,7 @@
     for (const auto &change : changes) {
         const auto record = change.value ? decodeEndpoint(change.key, *change.value) : std::nullopt;
         if (record) {
+            endpointAdmission_.onEntry(*record, now);
             directory_.onRegistered(*record);
             std::erase(missing, change.key);
         } else {
