--- a/tests/processes/testprocess.cpp
+++ b/tests/processes/testprocess.cpp
@@ -156,6 +156,13 @@
     return 0;
 }
 
+std::size_t TestProcess::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid_) + "/fd", error);
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::uint16_t TestProcess::port(const std::string &name) const
 {
     return ports_.is_object() ? ports_.value(name, std::uint16_t{0}) : 0;
--- a/tests/processes/testprocess.h
+++ b/tests/processes/testprocess.h
@@ -36,6 +36,8 @@
     bool isRunning() const;
     /** The most memory that the process has had resident, in bytes. */
     std::size_t peakResidentBytes() const;
+    /** Number of descriptors that the process has open. */
+    std::size_t openDescriptors() const;
     /** The port that the process printed under this name, or 0 if it printed none. */
     std::uint16_t port(const std::string &name) const;
 
--- a/tests/processes/usersplatformfixture.h
+++ b/tests/processes/usersplatformfixture.h
@@ -19,8 +19,10 @@
 class UsersPlatformTest : public testing::Test
 {
 protected:
-    UsersPlatformTest()
+    /** @param furtherSettings lines that the gateways' settings contain in addition. */
+    explicit UsersPlatformTest(std::string furtherSettings = {})
         : platform_({STANDIN, "users-platform"})
+        , furtherSettings_(std::move(furtherSettings))
     {
         putConfiguration(1, {"key-1"});
         putRow("servers",
@@ -54,7 +56,8 @@
                             << ":0\nplatform.address=" << store << "\ncloud.address=" << store
                             << "\ncloud.duties=usage_report\nbounds.revoke_ms=" << revocationMs
                             << "\nbounds.usage_window_s=1\nbounds.usage_late_s=4\nbounds."
-                               "retry_budget_slack=50\n";
+                               "retry_budget_slack=50\n"
+                            << furtherSettings_;
         return std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--platform"}, "CHESTNUTCOVE_BOOT", file);
     }
 
@@ -193,6 +196,9 @@
     TestProcess platform_;
     std::unique_ptr<TestProcess> gateway_;
     std::string ip_;
+
+private:
+    std::string furtherSettings_;
 };
 
 }
