Hostile callers: one budget of bytes and connections for all listeners, and back-pressure

Cause: of what a gateway keeps for its callers only bodies at the callers' address were bounded. Bodies at the readiness and metrics addresses, requests sent ahead, unread responses and open connections had no common bound. Input grew by a whole read for each small request that was answered. Bodies and answers that were given up were assigned an empty string, which keeps their memory.

Ruled out: memory kept by the C library. Mapping buffers of 128 KB and more by themselves (M_MMAP_THRESHOLD) left the peaks as they were while given-up buffers were kept, and made no difference once they were freed, in trials of nine tests.

Change: CallerBudget (a ByteBudget and a ConnectionBound), shared by the three listeners. Buffered input, unread responses and large heads count beside bodies; the largest is given up. Connections are bounded by limits.max_fds, idle ones are closed first, and one with a request in progress counts twice. Reading pauses while input or responses are above 64 KB. Status listeners take bodies of 4 KB. Buffers that are given up are freed, also those of endpoints' answers. Arriving bytes of a body are no longer copied into the connection's input.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -372,7 +372,7 @@
         }
     }
     call_->isGivenUp = true;
-    call_->body = {};
+    std::string().swap(call_->body);
     // Another request's call is being handled, so this one ends in a turn of its own.
     asio::post(context_.ioContext, [self = shared_from_this()] {
         if (self->call_ && self->call_->isGivenUp) {
@@ -401,7 +401,7 @@
     }
     beginAnswer(*call_->head);
     exchange_->sendBody(std::string_view(call_->body).substr(0, size));
-    call_->body.erase(0, size);
+    std::string(call_->body, size).swap(call_->body);
     if (exchange_->pendingBytes() > MaxPendingBytes && call_->connection) {
         call_->connection->pauseReading();
     }
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -51,9 +51,11 @@
 /** The part of the memory limit that answers may use which are kept, divided by this; growing buffers use up to twice their bytes. */
 constexpr std::size_t KeptAnswersDivisor = 4;
 constexpr std::size_t MinKeptAnswerBytes = std::size_t{8} << 20U;
-/** Fraction of the memory limit that all requests' bodies may take. A body is in memory twice while an endpoint reads it. */
+/** Fraction of the memory limit for all that is kept for callers. A body is in memory twice while an endpoint reads it. */
 constexpr std::size_t KeptBodiesDivisor = 6;
 constexpr std::size_t MinKeptBodyBytes = std::size_t{8} << 20U;
+/** Requests for the gateway's status need no body. */
+constexpr std::size_t MaxStatusBodyBytes = 4096;
 /** Fraction of the fleet's retry budget that the present gateways share; the rest is for gateways that join. */
 constexpr double RetryBudgetFraction = 0.6;
 
@@ -218,17 +220,17 @@
         return absl::InvalidArgumentError("platform settings: a gateway needs addresses to listen on for callers and for readiness");
     }
     const auto limits = [this] { return catalogue_ ? catalogue_->limits() : CallerLimits{}; };
-    const auto defaultLimits = [] { return CallerLimits{}; };
+    const auto statusLimits = [] { return CallerLimits{.bodyBytes = MaxStatusBodyBytes}; };
+    const auto budget = std::make_shared<CallerBudget>(std::max(MinKeptBodyBytes, settings_.memoryBytes / KeptBodiesDivisor),
+                                                       CallerBudget::connectionsOf(settings_.maxDescriptors));
     const auto onStatus = [this](const std::shared_ptr<CallerExchange> &exchange) { onStatusRequest(exchange); };
     try {
-        callerServer_ = std::make_unique<CallerServer>(
-            ioContext_,
-            listenAddress(*settings_.callerListen),
-            limits,
-            [this](const auto &exchange) { onRequest(exchange); },
-            std::max(MinKeptBodyBytes, settings_.memoryBytes / KeptBodiesDivisor));
-        readinessServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress(*settings_.readinessListen), defaultLimits, onStatus);
-        metricsServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress({settings_.ip, MetricsPort}), defaultLimits, onStatus);
+        const auto onCallerRequest = [this](const auto &exchange) { onRequest(exchange); };
+        callerServer_ = std::make_unique<CallerServer>(ioContext_, listenAddress(*settings_.callerListen), limits, onCallerRequest, budget);
+        readinessServer_
+            = std::make_unique<CallerServer>(ioContext_, listenAddress(*settings_.readinessListen), statusLimits, onStatus, budget);
+        metricsServer_
+            = std::make_unique<CallerServer>(ioContext_, listenAddress({settings_.ip, MetricsPort}), statusLimits, onStatus, budget);
     } catch (const std::system_error &error) {
         return absl::UnavailableError(std::string("can't listen: ") + error.what());
     }
--- a/src/libproxy/bufferedsocket.cpp
+++ b/src/libproxy/bufferedsocket.cpp
@@ -74,7 +74,7 @@
     readWaitActive_ = true;
     socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const std::error_code &error) {
         self->readWaitActive_ = false;
-        if (!self->open_ || error == asio::error::operation_aborted) {
+        if (!self->open_ || self->readPaused_ || error == asio::error::operation_aborted) {
             return;
         }
         self->readAvailable();
@@ -168,6 +168,8 @@
         awaitWritable();
         return;
     }
+    // Freed, so that the connections of callers who have read large responses keep no memory of their sizes.
+    std::string().swap(output_);
     if (finishing_) {
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     }
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -15,6 +15,10 @@
 
 /** Limit of buffered input while a response is pending. Above it, reading pauses and the kernel holds further bytes. */
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
+/** Limit of responses that the caller hasn't read. Above it, no further request of the connection is read. */
+constexpr std::size_t MaxUnreadBytes = std::size_t{64} * 1024;
+/** Memory of a head that doesn't count in the budget; the bound on connections covers it. Usual heads are below it. */
+constexpr std::size_t UncountedHeadBytes = 2048;
 /** A body grows without being copied up to this size, whatever length is stated. */
 constexpr std::size_t MaxReservedBytes = std::size_t{4} * 1024 * 1024;
 /** How long a caller may take to read more of its response, and then to close its side, after the sending direction was to be shut down. */
@@ -29,6 +33,18 @@
 constexpr int HeadTooLarge = 431;
 constexpr int NotImplemented = 501;
 
+std::size_t countedBytes(const RequestHead &head, std::size_t textBytes)
+{
+    const std::size_t memory = head.fields.size() * sizeof(HeaderField) + textBytes;
+    return memory > UncountedHeadBytes ? memory : 0;
+}
+
+/** Empties the text and frees its memory, which an assignment of an empty text keeps. */
+void release(std::string &text)
+{
+    std::string().swap(text);
+}
+
 bool isServed(std::string_view method)
 {
     return std::find(ServedMethods.begin(), ServedMethods.end(), method) != ServedMethods.end();
@@ -39,6 +55,8 @@
 CallerConnection::CallerConnection(std::shared_ptr<BufferedSocket> socket, std::shared_ptr<CallerServer::SharedState> shared)
     : socket_(std::move(socket))
     , shared_(std::move(shared))
+    , member_(shared_->budget->connections, [this] { closeNow(); })
+    , buffers_(shared_->budget->bytes, [this] { giveUpBuffers(); })
     , parser_(MessageParser::Type::Request, {nullptr, [this](std::string_view bytes) { body_.append(bytes); }})
     , timeoutStart_(suspendAwareNow())
 {
@@ -49,14 +67,61 @@
     BufferedSocket::Handlers handlers;
     handlers.onBytes = [self = shared_from_this()](std::string_view bytes) { self->onBytes(bytes); };
     handlers.onDisconnected = [self = shared_from_this()](DisconnectReason reason) { self->onDisconnected(reason); };
-    handlers.onDrained = [self = shared_from_this()] {
-        if (self->exchange_ && self->exchange_->drainedHandler_) {
-            self->exchange_->drainedHandler_();
-        }
-    };
+    handlers.onDrained = [self = shared_from_this()] { self->onDrained(); };
     socket_->start(std::move(handlers));
 }
 
+void CallerConnection::onDrained()
+{
+    updateBuffers();
+    if (exchange_ && exchange_->drainedHandler_) {
+        exchange_->drainedHandler_();
+        return;
+    }
+    readNextRequest();
+}
+
+void CallerConnection::setPhase(Phase phase)
+{
+    static constexpr std::array Uses{ConnectionUse::Idle, ConnectionUse::Reading, ConnectionUse::Responding, ConnectionUse::Closing};
+    phase_ = phase;
+    member_.setUse(Uses.at(static_cast<std::size_t>(phase)));
+}
+
+bool CallerConnection::isOutputFull() const
+{
+    return socket_->pendingBytes() > MaxUnreadBytes;
+}
+
+void CallerConnection::updateBuffers()
+{
+    if (phase_ == Phase::Closing || areBuffersGivenUp_) {
+        return;
+    }
+    if (input_.empty()) {
+        release(input_);
+    }
+    if (input_.size() > MaxPipelinedBytes || (phase_ != Phase::Responding && isOutputFull())) {
+        socket_->pauseReading();
+    } else {
+        socket_->resumeReading();
+    }
+    buffers_.resize(input_.size() + socket_->pendingBytes() + countedBytes(parser_.request(), parser_.headBytes()));
+}
+
+void CallerConnection::giveUpBuffers()
+{
+    areBuffersGivenUp_ = true;
+    // The budget is being counted for some connection, so this one is reset in a turn of its own.
+    asio::post(shared_->executor, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->socket_->isOpen()) {
+            self->socket_->reset();
+            self->onDisconnected(DisconnectReason::Broken);
+        }
+    });
+}
+
 bool CallerConnection::isIdle() const
 {
     return phase_ == Phase::Idle && input_.empty();
@@ -82,14 +147,16 @@
     if (phase_ == Phase::Closing || isBodyGivenUp_) {
         return;
     }
-    input_.append(bytes);
-    if (phase_ == Phase::Responding) {
-        if (input_.size() > MaxPipelinedBytes) {
-            socket_->pauseReading();
-        }
-        return;
+    if (phase_ == Phase::Responding || (phase_ == Phase::Idle && isOutputFull())) {
+        input_.append(bytes);
+    } else if (input_.empty()) {
+        // Not buffered, so that the connections of many slow bodies keep no read buffers.
+        readRequest(bytes);
+    } else {
+        input_.append(bytes);
+        readRequest(input_);
     }
-    readRequest();
+    updateBuffers();
 }
 
 void CallerConnection::onDisconnected(DisconnectReason)
@@ -101,20 +168,24 @@
     closeNow();
 }
 
-void CallerConnection::readRequest()
+void CallerConnection::readRequest(std::string_view bytes)
 {
     const TimePoint now = suspendAwareNow();
     if (phase_ == Phase::Idle) {
-        if (input_.empty()) {
+        if (bytes.empty() || isOutputFull()) {
             return;
         }
-        phase_ = Phase::Reading;
+        setPhase(Phase::Reading);
         timeoutStart_ = now;
         arrivedAt_ = now;
     }
     const CallerLimits limits = shared_->limits();
-    const std::size_t used = parser_.feed(input_);
-    input_.erase(0, used);
+    const std::size_t used = parser_.feed(bytes);
+    if (input_.empty()) {
+        input_.assign(bytes.substr(used));
+    } else {
+        input_.erase(0, used);
+    }
     if (parser_.state() == MessageParser::State::Failed) {
         sendErrorAndClose(parser_.isHeadTooLong() ? HeadTooLarge : BadRequest);
         return;
@@ -152,7 +223,7 @@
 {
     const std::size_t stated = parser_.contentLength().value_or(0);
     if (!keptBody_) {
-        if (shared_->bodies.isExceededBy(stated)) {
+        if (shared_->budget->bytes.isExceededBy(stated)) {
             dispatchWithoutBody();
             return false;
         }
@@ -172,7 +243,7 @@
     {
         Counted(std::shared_ptr<CallerServer::SharedState> sharedState, std::function<void()> onExceeded)
             : server(std::move(sharedState))
-            , share(server->bodies, std::move(onExceeded))
+            , share(server->budget->bytes, std::move(onExceeded))
         {
         }
         std::shared_ptr<CallerServer::SharedState> server;
@@ -184,7 +255,7 @@
             return;
         }
         self->isBodyGivenUp_ = true;
-        self->body_ = {};
+        release(self->body_);
         // Another connection's bytes are being counted, so this one's request is refused in a turn of its own.
         asio::post(self->shared_->executor, [self] { self->dispatchWithoutBody(); });
     };
@@ -197,12 +268,12 @@
     if (phase_ != Phase::Reading) {
         return;
     }
-    phase_ = Phase::Responding;
+    setPhase(Phase::Responding);
     isBodyGivenUp_ = true;
     keepAlive_ = false;
     headRequest_ = parser_.request().method == "HEAD";
-    input_.clear();
-    body_ = {};
+    release(input_);
+    release(body_);
     keptBody_.reset();
     exchange_ = std::make_shared<CallerExchange>(shared_from_this(), parser_.request(), std::string(), nullptr, arrivedAt_);
     exchange_->isBodyGivenUp_ = true;
@@ -216,6 +287,12 @@
         closeNow();
         return;
     }
+    // From now on a connection to an endpoint belongs to it, for which others may have to close.
+    member_.setUse(ConnectionUse::Responding);
+    if (!shared_->budget->connections.makeRoom(0)) {
+        dispatchWithoutBody();
+        return;
+    }
     phase_ = Phase::Responding;
     keepAlive_ = parser_.keepsAlive();
     headRequest_ = parser_.request().method == "HEAD";
@@ -243,17 +320,24 @@
     }
     parser_.restart();
     continueSent_ = false;
-    phase_ = Phase::Idle;
+    setPhase(Phase::Idle);
     timeoutStart_ = suspendAwareNow();
-    socket_->resumeReading();
-    if (!input_.empty()) {
-        // Posted, so that the next request isn't dispatched inside the call that ended the current exchange.
-        asio::post(shared_->executor, [self = shared_from_this()] {
-            if (self->phase_ == Phase::Idle) {
-                self->readRequest();
-            }
-        });
+    updateBuffers();
+    readNextRequest();
+}
+
+void CallerConnection::readNextRequest()
+{
+    if (phase_ != Phase::Idle || input_.empty()) {
+        return;
     }
+    // Posted, so that the next request isn't dispatched inside the call that ended the current exchange.
+    asio::post(shared_->executor, [self = shared_from_this()] {
+        if (self->phase_ == Phase::Idle) {
+            self->readRequest(self->input_);
+            self->updateBuffers();
+        }
+    });
 }
 
 void CallerConnection::abort()
@@ -265,12 +349,15 @@
 
 void CallerConnection::closeGracefully()
 {
-    phase_ = Phase::Closing;
+    setPhase(Phase::Closing);
     timeoutStart_ = suspendAwareNow();
     unreadBytes_ = socket_->unacknowledgedBytes();
-    input_.clear();
-    body_ = {};
+    release(input_);
+    release(body_);
     keptBody_.reset();
+    if (!areBuffersGivenUp_) {
+        buffers_.resize(socket_->pendingBytes());
+    }
     socket_->finishWriting();
     socket_->resumeReading();
 }
@@ -321,6 +408,7 @@
 void CallerConnection::write(std::string_view bytes)
 {
     socket_->write(bytes);
+    updateBuffers();
 }
 
 std::size_t CallerConnection::pendingBytes() const
--- a/src/libproxy/callerconnection.h
+++ b/src/libproxy/callerconnection.h
@@ -15,19 +15,22 @@
 /** State that all connections of a server share. */
 struct CallerServer::SharedState
 {
-    SharedState(asio::any_io_executor loop, LimitsReader limitsReader, RequestHandler requestHandler, std::size_t maxBodyBytes)
+    SharedState(asio::any_io_executor loop,
+                LimitsReader limitsReader,
+                RequestHandler requestHandler,
+                std::shared_ptr<CallerBudget> callerBudget)
         : executor(std::move(loop))
         , limits(std::move(limitsReader))
         , onRequest(std::move(requestHandler))
-        , bodies(maxBodyBytes)
+        , budget(std::move(callerBudget))
     {
     }
 
     asio::any_io_executor executor;
     LimitsReader limits;
     RequestHandler onRequest;
-    /** What is kept of requests' bodies. */
-    ByteBudget bodies;
+    /** What is kept for callers, by all servers that share it. */
+    std::shared_ptr<CallerBudget> budget;
     std::unordered_set<std::shared_ptr<CallerConnection>> connections;
     bool closeAfterResponse = false;
     /** Requests that weren't passed on, since their callers had left when they were read. */
@@ -68,7 +71,17 @@
 
     void onBytes(std::string_view bytes);
     void onDisconnected(DisconnectReason reason);
-    void readRequest();
+    /** @param bytes all of input_, or bytes that have just arrived while input_ is empty. What belongs to later requests is kept there. */
+    void readRequest(std::string_view bytes);
+    void readNextRequest();
+    void setPhase(Phase phase);
+    /** So many bytes of responses are unread that no further request of this connection is read. */
+    bool isOutputFull() const;
+    /** Reads from the socket unless too much is buffered, and counts what is. */
+    void updateBuffers();
+    void onDrained();
+    /** The process keeps too many bytes and this connection's buffers are the largest. */
+    void giveUpBuffers();
     void sendErrorAndClose(int status);
     /** While closing: whether the caller's side has taken some of the response since the last look. */
     bool hasReadMore(TimePoint now);
@@ -81,6 +94,10 @@
 
     std::shared_ptr<BufferedSocket> socket_;
     std::shared_ptr<CallerServer::SharedState> shared_;
+    ConnectionBound::Member member_;
+    /** Counts buffered input, unread output and a large head. */
+    ByteBudget::Share buffers_;
+    bool areBuffersGivenUp_ = false;
     MessageParser parser_;
     std::string input_;
     std::string body_;
--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -162,7 +162,20 @@
                            LimitsReader limits,
                            RequestHandler onRequest,
                            std::size_t maxBodyBytes)
-    : shared_(std::make_shared<SharedState>(context.get_executor(), std::move(limits), std::move(onRequest), maxBodyBytes))
+    : CallerServer(context,
+                   listen,
+                   std::move(limits),
+                   std::move(onRequest),
+                   std::make_shared<CallerBudget>(maxBodyBytes, std::numeric_limits<std::size_t>::max()))
+{
+}
+
+CallerServer::CallerServer(asio::io_context &context,
+                           const asio::ip::tcp::endpoint &listen,
+                           LimitsReader limits,
+                           RequestHandler onRequest,
+                           std::shared_ptr<CallerBudget> budget)
+    : shared_(std::make_shared<SharedState>(context.get_executor(), std::move(limits), std::move(onRequest), std::move(budget)))
     , acceptor_(context)
     , retryTimer_(context)
 {
@@ -220,6 +233,10 @@
             const bool isNoneWaiting = error == asio::error::would_block || error == asio::error::try_again;
             return isNoneWaiting || error == asio::error::connection_aborted;
         }
+        if (!shared_->budget->connections.makeRoom(1)) {
+            // Every connection has a request in progress. The new one is closed, as if nobody listened.
+            continue;
+        }
         auto buffered = std::make_shared<BufferedSocket>(std::move(socket), CallerAckTimeout);
         auto connection = std::make_shared<CallerConnection>(std::move(buffered), shared_);
         shared_->connections.insert(connection);
@@ -256,7 +273,7 @@
 
 std::size_t CallerServer::keptBodyBytes() const
 {
-    return shared_->bodies.used();
+    return shared_->budget->bytes.used();
 }
 
 std::size_t CallerServer::openConnectionCount() const
--- a/src/libproxy/callerserver.h
+++ b/src/libproxy/callerserver.h
@@ -7,6 +7,7 @@
 
 #include "bufferedsocket.h"
 #include "bytebudget.h"
+#include "callerbudget.h"
 #include "messageparser.h"
 #include "routecatalogue.h"
 #include "timepoint.h"
@@ -103,6 +104,12 @@
                  LimitsReader limits,
                  RequestHandler onRequest,
                  std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max());
+    /** Like the constructor above. @param budget that several servers share; it is used in their thread only. */
+    CallerServer(asio::io_context &context,
+                 const asio::ip::tcp::endpoint &listen,
+                 LimitsReader limits,
+                 RequestHandler onRequest,
+                 std::shared_ptr<CallerBudget> budget);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
@@ -116,7 +123,7 @@
     std::size_t openConnectionCount() const;
     /** Number of requests that weren't passed on, since their callers had left when they were read. */
     std::uint64_t requestsOfGoneCallers() const;
-    /** Bytes of the bodies of all requests. */
+    /** Bytes that count in the budget. */
     std::size_t keptBodyBytes() const;
     /** Closes connections that exceeded a timeout. Must be called several times a second. */
     void closeExpiredConnections(TimePoint now);
