Placement: learned prefill rate of each engine, and its present slowdown

Cause: engines read 55 to 672 prompt tokens a ms and differ by two within one service, while placement takes 330 for all of them. A prompt that waited shows the queue, so only prompts that were alone at their engine count, by this gateway's calls and by the answer's report, and of those a high quantile. Ruled out too: learning without a fourth figure in the reports; those deployments keep the constant.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -474,6 +474,7 @@
         if (handle.ok()) {
             context_.metrics.distribution("prefill_seconds").add(toSeconds(suspendAwareNow() - call.startedAt));
             context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
+            context_.speeds.onPrefilled(call, suspendAwareNow());
             context_.placement.recordPrefill(call.endpoint.id, request_.facts.promptParts, call.promptWork.tokens);
             heldPrompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
             heldPromptEngine_ = call.endpoint;
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -16,6 +16,7 @@
 #include "quotaadmission.h"
 #include "retrybudget.h"
 #include "routecatalogue.h"
+#include "speedobserver.h"
 #include "stopschedule.h"
 
 #include <asio/io_context.hpp>
@@ -37,6 +38,7 @@
     EndpointDirectory &directory;
     EndpointLoads &loads;
     PlacementPolicy &placement;
+    SpeedObserver &speeds;
     std::string dataCentre;
     FleetCoordinator &fleet;
     QuotaAdmission &quotas;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -100,7 +100,8 @@
     , table_(httpClient_, storeOptions())
     , configurationFreshness_(settings_.keyRevocation - RevocationMargin)
     , directory_({.drainTime = settings.drainDelay})
-    , placement_(PlacementOptions{}, loads_)
+    , placement_(PlacementOptions{}, loads_, speeds_)
+    , speedObserver_(speeds_, loads_, metrics)
     , pool_(context, EndpointPoolOptions{})
     , quotaLinks_(context, log)
     , quotas_(
@@ -137,6 +138,7 @@
                   directory_,
                   loads_,
                   placement_,
+                  speedObserver_,
                   settings_.dataCentre,
                   fleet_,
                   quotas_,
@@ -356,6 +358,7 @@
         pool_.closeIdleConnections(record);
         loads_.removeEndpoint(record.id);
         placement_.removeEndpoint(record.id);
+        speeds_.removeEndpoint(record);
         endpointAdmission_.removeEndpoint(record);
     }
 }
@@ -368,6 +371,7 @@
     }
     loads_.keepOnly(present);
     placement_.keepOnly(present);
+    speeds_.keepOnly(present);
 }
 
 void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
--- a/src/chestnutcove/platformgateway.h
+++ b/src/chestnutcove/platformgateway.h
@@ -10,6 +10,7 @@
 #include "endpointdirectory.h"
 #include "endpointloads.h"
 #include "endpointpool.h"
+#include "endpointspeeds.h"
 #include "eventloopmonitor.h"
 #include "fleetcoordinator.h"
 #include "forwardedrequest.h"
@@ -119,7 +120,9 @@
     std::optional<TimePoint> configurationRestoredAt_;
     EndpointDirectory directory_;
     EndpointLoads loads_;
+    EndpointSpeeds speeds_{EndpointSpeedOptions{}};
     PlacementPolicy placement_;
+    SpeedObserver speedObserver_;
     EndpointPool pool_;
     QuotaLinks quotaLinks_;
     QuotaAdmission quotas_;
--- a/src/libserving/endpointloads.cpp
+++ b/src/libserving/endpointloads.cpp
@@ -37,6 +37,9 @@
         timelyPromptTokens_ += prompt.tokens;
     }
     if (prompt.tokens > 0) {
+        if (!load.timelyStarts.empty() || !load.lateStarts.empty()) {
+            load.lastOverlapAt = prompt.startedAt;
+        }
         (prompt.isLate ? load.lateStarts : load.timelyStarts).insert(prompt.startedAt);
     }
 }
@@ -60,6 +63,9 @@
     auto &starts = prompt.isLate ? load.lateStarts : load.timelyStarts;
     if (const auto start = starts.find(prompt.startedAt); start != starts.end()) {
         starts.erase(start);
+        if (!load.timelyStarts.empty() || !load.lateStarts.empty()) {
+            load.lastOverlapAt = now;
+        }
     }
     const bool unanswered = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NoAnswer;
     const bool failed = unanswered || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Failed;
@@ -130,6 +136,33 @@
     return std::max(lateAge, oldestTimelyPromptAge(endpoint, now));
 }
 
+bool EndpointLoads::wasAlone(const std::string &endpoint, TimePoint startedAt) const
+{
+    const auto &lastOverlapAt = loadOf(endpoint).lastOverlapAt;
+    return !lastOverlapAt || *lastOverlapAt < startedAt;
+}
+
+double EndpointLoads::slowdown(const std::string &endpoint, TimePoint now) const
+{
+    const Load &load = loadOf(endpoint);
+    const Duration age = now - load.reportedAt;
+    if (!load.reported.slowdown || age >= ReportLifetime) {
+        return 1;
+    }
+    return 1 + (*load.reported.slowdown - 1) * (1 - toSeconds(age) / toSeconds(ReportLifetime));
+}
+
+double EndpointLoads::meanReportedSlowdown() const
+{
+    double sum = 0;
+    unsigned reports = 0;
+    for (const auto &[id, load] : loads_) {
+        sum += load.reported.slowdown.value_or(0);
+        reports += load.reported.slowdown ? 1 : 0;
+    }
+    return reports == 0 ? 1 : sum / reports;
+}
+
 double EndpointLoads::timelyTokenFraction() const
 {
     return promptTokens_ == 0 ? 1 : static_cast<double>(timelyPromptTokens_) / static_cast<double>(promptTokens_);
--- a/src/libserving/endpointloads.h
+++ b/src/libserving/endpointloads.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -53,6 +54,8 @@
         /** Start times of the calls in flight that include a prefill. */
         std::multiset<TimePoint> timelyStarts;
         std::multiset<TimePoint> lateStarts;
+        /** When a prefill of this gateway began or ended while another one of it was in flight there. */
+        std::optional<TimePoint> lastOverlapAt;
         ReportedLoad reported;
         /** Requests of other gateways according to that report. */
         unsigned reportedOtherRequests = 0;
@@ -86,6 +89,15 @@
     Duration oldestTimelyPromptAge(const std::string &endpoint, TimePoint now) const;
     /** Age of the oldest prompt in flight, timely or late. */
     Duration oldestPromptAge(const std::string &endpoint, TimePoint now) const;
+    /** Whether a prefill that began then and has ended was the only one of this gateway at the endpoint during all that time. */
+    bool wasAlone(const std::string &endpoint, TimePoint startedAt) const;
+    /**
+     * Factor on the time that work takes at the endpoint at present. Decays from the last reported value to 1 as the report ages; 1 for an
+     * endpoint that reports none.
+     */
+    double slowdown(const std::string &endpoint, TimePoint now) const;
+    /** Mean of the slowdowns that endpoints reported last; 1 if none did. */
+    double meanReportedSlowdown() const;
     /** Fraction of this gateway's prompt tokens in flight that are timely, 0 to 1; used as an estimate for the other gateways too. */
     double timelyTokenFraction() const;
 
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -20,9 +20,10 @@
 
 }
 
-PlacementPolicy::PlacementPolicy(PlacementOptions options, const EndpointLoads &loads)
+PlacementPolicy::PlacementPolicy(PlacementOptions options, const EndpointLoads &loads, const EndpointSpeeds &speeds)
     : options_(options)
     , loads_(loads)
+    , speeds_(speeds)
 {
 }
 
@@ -62,7 +63,8 @@
 }
 
 template<typename Wait>
-Placement PlacementPolicy::fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, Wait waitOf) const
+Placement
+PlacementPolicy::fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, TimePoint now, Wait waitOf) const
 {
     std::vector<std::string> ids;
     ids.reserve(engines.size());
@@ -76,7 +78,8 @@
         const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto &each) { return each.id == order[rank]; });
         const std::uint64_t tokens = countUncachedTokens(query, engine->id, rank == 0);
         const Duration wait = waitOf(*engine);
-        const Duration time = wait + prefillTime(static_cast<double>(tokens)) + options_.rankPenalty * static_cast<int>(rank);
+        const Duration prefill = prefillTime(*engine, static_cast<double>(tokens), now);
+        const Duration time = wait + prefill + options_.rankPenalty * static_cast<int>(rank);
         if (time < bestTime) {
             bestTime = time;
             best.prefillEngine = *engine;
@@ -93,13 +96,13 @@
     if (engines.empty()) {
         return {};
     }
-    Placement timely = fastestPrefill(query, engines, [&](const EndpointRecord &engine) { return timelyWait(engine, now); });
+    Placement timely = fastestPrefill(query, engines, now, [&](const EndpointRecord &engine) { return timelyWait(engine, now); });
     timely.result = Placement::Result::Placed;
     timely.expectedWait = std::max(timely.expectedWait, loads_.oldestTimelyPromptAge(timely.prefillEngine->id, now));
     if (toSeconds(timely.expectedWait) <= toSeconds(query.targetLatency) * options_.timelyWaitFraction) {
         return timely;
     }
-    Placement late = fastestPrefill(query, engines, [&](const EndpointRecord &engine) { return expectedWait(engine, now); });
+    Placement late = fastestPrefill(query, engines, now, [&](const EndpointRecord &engine) { return expectedWait(engine, now); });
     late.isLate = true;
     late.expectedWait = std::max(late.expectedWait, loads_.oldestPromptAge(late.prefillEngine->id, now));
     const bool tooLate = toSeconds(late.expectedWait) > toSeconds(query.maxWait) * options_.refusalWaitFraction;
@@ -161,21 +164,23 @@
     return it != trackedParts_.end() && it->second.positions.contains(part);
 }
 
-Duration PlacementPolicy::prefillTime(double tokens) const
+Duration PlacementPolicy::prefillTime(const EndpointRecord &endpoint, double tokens, TimePoint now) const
 {
-    return fromSeconds(tokens / options_.prefillTokensPerMs / 1000);
+    const double tokensPerMs = speeds_.prefillTokensPerMs(endpoint, now).value_or(options_.prefillTokensPerMs);
+    return fromSeconds(tokens / tokensPerMs / 1000 * loads_.slowdown(endpoint.id, now));
 }
 
 Duration PlacementPolicy::expectedWait(const EndpointRecord &endpoint, TimePoint now) const
 {
     const double own = static_cast<double>(loads_.loadOf(endpoint.id).promptTokens);
-    return prefillTime(own + loads_.otherGatewayRequests(endpoint.id, now) * meanUncachedTokens_);
+    return prefillTime(endpoint, own + loads_.otherGatewayRequests(endpoint.id, now) * meanUncachedTokens_, now);
 }
 
 Duration PlacementPolicy::timelyWait(const EndpointRecord &endpoint, TimePoint now) const
 {
     const double own = static_cast<double>(loads_.loadOf(endpoint.id).timelyPromptTokens);
-    return prefillTime(own + loads_.otherGatewayRequests(endpoint.id, now) * meanUncachedTokens_ * loads_.timelyTokenFraction());
+    const double others = loads_.otherGatewayRequests(endpoint.id, now) * meanUncachedTokens_ * loads_.timelyTokenFraction();
+    return prefillTime(endpoint, own + others, now);
 }
 
 double PlacementPolicy::utilisation(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -9,6 +9,7 @@
 
 #include "endpointloads.h"
 #include "endpointrecord.h"
+#include "endpointspeeds.h"
 #include "promptpart.h"
 #include "timepoint.h"
 
@@ -26,7 +27,7 @@
 {
     /** A prompt with fewer tokens skips the prefill engines: a decode engine runs the whole request. */
     std::uint64_t minDisaggregatedTokens = 1000;
-    /** Prefill throughput of an engine. */
+    /** Prefill throughput of an engine whose own one was not learned. */
     double prefillTokensPerMs = 330;
     /** A prompt is timely if its expected wait is at most this fraction of the target latency. */
     double timelyWaitFraction = 0.5;
@@ -88,7 +89,7 @@
 class PlacementPolicy
 {
 public:
-    PlacementPolicy(PlacementOptions options, const EndpointLoads &loads);
+    PlacementPolicy(PlacementOptions options, const EndpointLoads &loads, const EndpointSpeeds &speeds);
 
     Placement place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
     /**
@@ -123,10 +124,11 @@
     /** Time until the engine has prefilled all prompts in flight, and until it has prefilled the timely ones. */
     Duration expectedWait(const EndpointRecord &endpoint, TimePoint now) const;
     Duration timelyWait(const EndpointRecord &endpoint, TimePoint now) const;
-    Duration prefillTime(double tokens) const;
+    /** Time in which the engine prefills that many tokens at its present speed. */
+    Duration prefillTime(const EndpointRecord &endpoint, double tokens, TimePoint now) const;
     /** The engine that would finish the prefill first if the prompt waited for as long as @p waitOf returns for each engine. */
     template<typename Wait>
-    Placement fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, Wait waitOf) const;
+    Placement fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, TimePoint now, Wait waitOf) const;
     double utilisation(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const;
     /** The endpoints for @p stage that were not tried yet; those that are avoided are returned only if there are no others. */
     std::vector<EndpointRecord> candidates(const PlacementQuery &query,
@@ -136,6 +138,7 @@
 
     PlacementOptions options_;
     const EndpointLoads &loads_;
+    const EndpointSpeeds &speeds_;
     /** Exponentially smoothed number of tokens that an engine had to prefill for a prompt. */
     double meanUncachedTokens_ = 3000;
     /** By endpoint. */
--- a/tests/serving/endpointweek_test.cpp
+++ b/tests/serving/endpointweek_test.cpp
@@ -48,6 +48,7 @@
         loads_.onLoadReported(record.id, {}, now_);
         limits_.observe(EndpointLimits::runOf(record), {10, now_});
         loads_.onCallEnded(record.id, prompt, AttemptOutcome::Succeeded, now_);
+        speeds_.onPrefilled(record, {prompt.tokens, 10ms, true, ReportedLoad{1, 0, 32, 1.0}}, now_);
         placement_.recordPrefill(record.id, {{"part of " + record.id, 500}, {"own", 500}}, prompt.tokens);
     }
 
@@ -56,6 +57,7 @@
         for (const auto &record : directory_.takeEndedRuns(now_)) {
             loads_.removeEndpoint(record.id);
             placement_.removeEndpoint(record.id);
+            speeds_.removeEndpoint(record);
             limits_.remove(EndpointLimits::runOf(record));
         }
     }
@@ -68,12 +70,14 @@
         }
         loads_.keepOnly(present);
         placement_.keepOnly(present);
+        speeds_.keepOnly(present);
         limits_.removeStale(now_);
     }
 
     EndpointDirectory directory_{EndpointDirectoryOptions{}};
     EndpointLoads loads_;
-    PlacementPolicy placement_{PlacementOptions{}, loads_};
+    EndpointSpeeds speeds_{EndpointSpeedOptions{}};
+    PlacementPolicy placement_{PlacementOptions{}, loads_, speeds_};
     EndpointLimits limits_;
     TimePoint now_{1h};
 };
@@ -93,6 +97,7 @@
     EXPECT_LE(directory_.allEndpoints().size(), MaxKnown);
     EXPECT_LE(loads_.size(), MaxKnown);
     EXPECT_LE(placement_.trackedEndpoints(), MaxKnown);
+    EXPECT_LE(speeds_.size(), MaxKnown);
     EXPECT_LE(limits_.limitedRuns(), MaxKnown + static_cast<std::size_t>(LimitMemory / NewServerInterval));
 }
 
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -47,7 +47,8 @@
 
     std::vector<EndpointRecord> engines_;
     EndpointLoads loads_;
-    PlacementPolicy placement_{PlacementOptions{}, loads_};
+    EndpointSpeeds speeds_{EndpointSpeedOptions{}};
+    PlacementPolicy placement_{PlacementOptions{}, loads_, speeds_};
     TimePoint now_{100s};
 };
 
