Placement: utilisation is weighed by learned relative times

Cause: servers of one service differ in speed by two, and for moments by 2.5 more, and requests are spread over them as over equal ones. Ruled out: one mean time for each endpoint; it shows which requests it got. Change: ServiceTimes learns from answers with a fourth figure in their load report. An endpoint with n requests counts as if they and the new one took its relative time, times its present slowdown; without a fourth figure the utilisation is the same figure as before.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -528,6 +528,7 @@
 {
     CrashReporter &reporter = context_.fleet.crashReporter();
     if (outcome == AttemptOutcome::Succeeded) {
+        context_.speeds.onRunAnswered(call, request_.route->name, request_.facts.maxOutputTokens, suspendAwareNow());
         reporter.onRunAnswered(request_.content);
     } else if (outcome == AttemptOutcome::Failed) {
         reporter.onRunFailed(request_.content);
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -80,7 +80,7 @@
     OutgoingCall endCall(AttemptOutcome outcome);
     void onPrefillEnd(const OutgoingCall &call, AttemptOutcome outcome);
     void onRunEnd(OutgoingCall call, AttemptOutcome outcome);
-    /** Tells the crash reporter how the run of the prompt ended. */
+    /** Tells the crash reporter how the run of the prompt ended, and the speed observer how long a successful one took. */
     void reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome);
 
     void forwardBody();
--- a/src/chestnutcove/speedobserver.cpp
+++ b/src/chestnutcove/speedobserver.cpp
@@ -3,6 +3,7 @@
 #include "suspendclock.h"
 
 #include <algorithm>
+#include <bit>
 #include <numeric>
 
 namespace Chestnutcove {
@@ -50,4 +51,11 @@
     speeds_.onPrefilled(call.endpoint, sample, now);
 }
 
+void SpeedObserver::onRunAnswered(const OutgoingCall &call, const std::string &route, std::uint64_t maxOutputTokens, TimePoint now)
+{
+    // Answers of one order of magnitude take similar times.
+    const std::string requestClass = call.endpoint.service + '/' + route + '/' + std::to_string(std::bit_width(maxOutputTokens));
+    speeds_.serviceTimes().onAnswered(call.endpoint, requestClass, now - call.startedAt, call.answer.load, now);
+}
+
 }
--- a/src/chestnutcove/speedobserver.h
+++ b/src/chestnutcove/speedobserver.h
@@ -8,6 +8,9 @@
 #include "metrics.h"
 #include "outgoingcall.h"
 
+#include <cstdint>
+#include <string>
+
 namespace Chestnutcove {
 
 class SpeedObserver
@@ -17,6 +20,8 @@
 
     /** The call has succeeded and was recorded in the loads as ended. */
     void onPrefilled(const OutgoingCall &call, TimePoint now);
+    /** A run has succeeded. @param route that the request came by. */
+    void onRunAnswered(const OutgoingCall &call, const std::string &route, std::uint64_t maxOutputTokens, TimePoint now);
 
 private:
     EndpointSpeeds &speeds_;
--- a/src/libserving/endpointspeeds.cpp
+++ b/src/libserving/endpointspeeds.cpp
@@ -74,11 +74,13 @@
     if (it != estimates_.end() && it->second.startedAt <= endpoint.startedAt) {
         estimates_.erase(it);
     }
+    serviceTimes_.removeEndpoint(endpoint);
 }
 
 void EndpointSpeeds::keepOnly(const std::set<std::string> &endpoints)
 {
     std::erase_if(estimates_, [&endpoints](const auto &item) { return !endpoints.contains(item.first); });
+    serviceTimes_.keepOnly(endpoints);
 }
 
 bool EndpointSpeeds::isValid(const Estimate &estimate, TimePoint now) const
--- a/src/libserving/endpointspeeds.h
+++ b/src/libserving/endpointspeeds.h
@@ -1,6 +1,7 @@
 /**
- * Learns from the answers that this gateway receives how fast each endpoint prefills prompts. Only endpoints that report their present
- * slowdown are learned, since those share machines and differ in speed; an estimate is the rate of the endpoint without slowdown.
+ * Learns from the answers that this gateway receives how fast each endpoint prefills prompts, and keeps their service times. Only endpoints
+ * that report their present slowdown are learned, since those share machines and differ in speed; an estimate is the rate of the endpoint
+ * without slowdown.
  *
  * A prompt that waits behind others makes its sample too slow, and a prompt that the engine had in its cache makes it too fast. Only
  * prompts that were alone at their engine, as far as this gateway can tell, are used, and of the latest ones a high quantile.
@@ -9,8 +10,10 @@
 
 #include "endpointrecord.h"
 #include "samplewindow.h"
+#include "servicetimes.h"
 #include "timepoint.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -68,6 +71,9 @@
     /** Number of endpoints of which anything is known. */
     std::size_t size() const;
 
+    /** The times of whole requests, for services without engines and for the runs at decode engines. */
+    ServiceTimes &serviceTimes();
+    const ServiceTimes &serviceTimes() const;
     /** The rate of the endpoint's run without slowdown; empty until there are enough samples. */
     std::optional<double> prefillTokensPerMs(const EndpointRecord &endpoint, TimePoint now) const;
     /** The estimates of all endpoints, for metrics. */
@@ -95,11 +101,22 @@
     EndpointSpeedOptions options_;
     /** By endpoint id. */
     std::unordered_map<std::string, Estimate> estimates_;
+    ServiceTimes serviceTimes_{ServiceTimeOptions{}};
 };
 
 inline std::size_t EndpointSpeeds::size() const
 {
-    return estimates_.size();
+    return std::max(estimates_.size(), serviceTimes_.size());
+}
+
+inline ServiceTimes &EndpointSpeeds::serviceTimes()
+{
+    return serviceTimes_;
+}
+
+inline const ServiceTimes &EndpointSpeeds::serviceTimes() const
+{
+    return serviceTimes_;
 }
 
 }
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -187,7 +187,14 @@
 {
     const auto &load = loads_.loadOf(endpoint.id);
     const double dataCentrePenalty = endpoint.dataCentre == dataCentre ? 0 : options_.otherDataCentrePenalty;
-    return (load.calls + loads_.otherGatewayRequests(endpoint.id, now)) / endpoint.slots + dataCentrePenalty + load.failureRate;
+    const double requests = load.calls + loads_.otherGatewayRequests(endpoint.id, now);
+    return requests / endpoint.slots + dataCentrePenalty + load.failureRate + slownessPenalty(endpoint, requests, now);
+}
+
+double PlacementPolicy::slownessPenalty(const EndpointRecord &endpoint, double requests, TimePoint now) const
+{
+    const double relativeTime = speeds_.serviceTimes().relativeTime(endpoint, now) * loads_.slowdown(endpoint.id, now);
+    return (requests + 1) * (relativeTime - 1) / endpoint.slots;
 }
 
 void PlacementPolicy::recordPrefill(const std::string &endpoint, const std::vector<PromptPart> &parts, std::uint64_t uncachedTokens)
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -130,6 +130,11 @@
     template<typename Wait>
     Placement fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, TimePoint now, Wait waitOf) const;
     double utilisation(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const;
+    /**
+     * Utilisation that is added for an endpoint that takes longer than its service's usual one, or subtracted for a faster one; 0 if
+     * nothing is known. The request to place counts too, so that speeds matter also at idle endpoints.
+     */
+    double slownessPenalty(const EndpointRecord &endpoint, double requests, TimePoint now) const;
     /** The endpoints for @p stage that were not tried yet; those that are avoided are returned only if there are no others. */
     std::vector<EndpointRecord> candidates(const PlacementQuery &query,
                                            const std::vector<EndpointRecord> &endpoints,
