Stage planner: learned rates, and the fastest engines prefill

Cause: the planner takes 320 tokens a ms for every engine; where engines read 55 it moves prefill engines to decode too early, and it takes engines to prefill in the order of their entries. Ruled out too: speed before the balance of data centres, which would leave one without a stage. Change: the holder of the duties passes the rates that it has learned. Their mean over the prefill engines takes the place of the constant if half of them are known; within a data centre the fastest engines are taken to prefill and the slowest to decode.

--- a/src/chestnutcove/fleetcoordinator.cpp
+++ b/src/chestnutcove/fleetcoordinator.cpp
@@ -65,6 +65,7 @@
                                    QuotaLinks &links,
                                    LimitAdmission &quotas,
                                    EndpointAdmission &endpoints,
+                                   const EndpointSpeeds &speeds,
                                    CatalogueReader catalogue,
                                    std::uint64_t incarnation,
                                    Metrics &metrics,
@@ -122,7 +123,7 @@
                      metrics,
                      log,
                      [this](WindowNumber window) { return isUsageStoredByAll(window); })
-    , stageOrders_(pool, sharedRows_.table(), lease_, settings.vmName, metrics, log)
+    , stageOrders_(pool, sharedRows_.table(), lease_, settings.vmName, speeds, metrics, log)
     , liveness_(CoordinationIntervals{}.unresponsiveTimeout, GatewayReturnPeriod)
     , divider_(QuotaDividerOptions{})
 {
--- a/src/chestnutcove/fleetcoordinator.h
+++ b/src/chestnutcove/fleetcoordinator.h
@@ -9,6 +9,7 @@
 #include "dutylease.h"
 #include "endpointadmission.h"
 #include "endpointdirectory.h"
+#include "endpointspeeds.h"
 #include "gatewaystatus.h"
 #include "httptable.h"
 #include "limitadmission.h"
@@ -45,6 +46,7 @@
                      QuotaLinks &links,
                      LimitAdmission &quotas,
                      EndpointAdmission &endpoints,
+                     const EndpointSpeeds &speeds,
                      CatalogueReader catalogue,
                      std::uint64_t incarnation,
                      Metrics &metrics,
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -125,6 +125,7 @@
           quotaLinks_,
           quotas_.limits(),
           endpointAdmission_,
+          speeds_,
           [this] { return catalogue_; },
           incarnation_,
           metrics_,
--- a/src/chestnutcove/stageorders.cpp
+++ b/src/chestnutcove/stageorders.cpp
@@ -28,12 +28,14 @@
                          PlatformTable &table,
                          const BasicDutyLease<PlatformTable> &lease,
                          std::string holder,
+                         const EndpointSpeeds &speeds,
                          Metrics &metrics,
                          const Log &log)
     : pool_(pool)
     , table_(table)
     , lease_(lease)
     , holder_(std::move(holder))
+    , speeds_(speeds)
     , metrics_(metrics)
     , log_(log)
 {
@@ -59,7 +61,7 @@
         planned.push_back(std::move(engine));
     }
     StagePlanner &planner = planners_.try_emplace(service.name, StagePlannerOptions{}).first->second;
-    for (const auto &change : planner.plan(planned, changingEngines, *service.engine, work, now)) {
+    for (const auto &change : planner.plan(planned, changingEngines, *service.engine, work, now, learnedRates(planned, now))) {
         if (pendingChanges_.contains(change.engine.id)) {
             continue;
         }
@@ -84,6 +86,17 @@
     sendDueOrders(now);
 }
 
+EngineRates StageOrders::learnedRates(const std::vector<EndpointRecord> &engines, TimePoint now) const
+{
+    EngineRates rates;
+    for (const EndpointRecord &engine : engines) {
+        if (const auto rate = speeds_.prefillTokensPerMs(engine, now)) {
+            rates[engine.id] = *rate;
+        }
+    }
+    return rates;
+}
+
 void StageOrders::writeAnnouncement()
 {
     nlohmann::json stages = nlohmann::json::object();
--- a/src/chestnutcove/stageorders.h
+++ b/src/chestnutcove/stageorders.h
@@ -7,6 +7,7 @@
 
 #include "dutylease.h"
 #include "endpointpool.h"
+#include "endpointspeeds.h"
 #include "metrics.h"
 #include "platformtable.h"
 #include "requestcodec.h"
@@ -26,6 +27,7 @@
                 PlatformTable &table,
                 const BasicDutyLease<PlatformTable> &lease,
                 std::string holder,
+                const EndpointSpeeds &speeds,
                 Metrics &metrics,
                 const Log &log);
 
@@ -55,6 +57,8 @@
         Duration changeDuration{};
     };
 
+    /** The learned prefill rates of the engines whose rate is known. */
+    EngineRates learnedRates(const std::vector<EndpointRecord> &engines, TimePoint now) const;
     void writeAnnouncement();
     /** Asks the engine for its state and then sends the order if it is still needed. */
     void requestReport(const StageChange &change, Duration changeDuration);
@@ -68,6 +72,7 @@
     PlatformTable &table_;
     const BasicDutyLease<PlatformTable> &lease_;
     std::string holder_;
+    const EndpointSpeeds &speeds_;
     Metrics &metrics_;
     const Log &log_;
     std::map<std::string, StagePlanner> planners_;
--- a/src/libserving/stageplanner.cpp
+++ b/src/libserving/stageplanner.cpp
@@ -12,10 +12,39 @@
 /** Bits per millisecond of a link of 1 Mbit/s. */
 constexpr double BitsPerMillisecond = 1000;
 constexpr double MinTransferMsPerToken = 1e-9;
+/** After that many averaging times an eighth of the average is older. */
+constexpr int AveragingTimesUntilObserved = 2;
 
-/** Selects an engine of stage @p from to reassign, in the data centre with the largest surplus of that stage over the other one. */
-std::vector<EndpointRecord>::const_iterator selectEngine(const std::vector<EndpointRecord> &engines, EngineStage from)
+/** The mean of the learned rates; 0 if there are none. */
+double meanRate(const EngineRates &rates)
 {
+    double sum = 0;
+    for (const auto &[id, rate] : rates) {
+        sum += rate;
+    }
+    return rates.empty() ? 0 : sum / static_cast<double>(rates.size());
+}
+
+/** The rate of the engine, or the mean if it isn't known. */
+double rateOf(const EndpointRecord &engine, const EngineRates &rates, double mean)
+{
+    const auto it = rates.find(engine.id);
+    return it == rates.end() ? mean : it->second;
+}
+
+/**
+ * Selects an engine of stage @p from to reassign, in the data centre with the largest surplus of that stage over the other one: the fastest
+ * one to prefill, or the slowest one to decode.
+ */
+std::vector<EndpointRecord>::const_iterator
+selectEngine(const std::vector<EndpointRecord> &engines, EngineStage from, const EngineRates &rates)
+{
+    const double mean = meanRate(rates);
+    const auto isFitter = [&](const EndpointRecord &left, const EndpointRecord &right) {
+        const double leftRate = rateOf(left, rates, mean);
+        const double rightRate = rateOf(right, rates, mean);
+        return from == EngineStage::Decode ? leftRate > rightRate : leftRate < rightRate;
+    };
     std::map<std::string, int> balance;
     for (const auto &engine : engines) {
         balance[engine.dataCentre] += engine.stage == from ? 1 : -1;
@@ -25,7 +54,8 @@
         if (it->stage != from) {
             continue;
         }
-        if (best == engines.end() || balance[it->dataCentre] > balance[best->dataCentre]) {
+        const int surplus = best == engines.end() ? 1 : balance[it->dataCentre] - balance[best->dataCentre];
+        if (surplus > 0 || (surplus == 0 && isFitter(*it, *best))) {
             best = it;
         }
     }
@@ -50,6 +80,7 @@
 
 StagePlanner::StagePlanner(StagePlannerOptions options)
     : options_(options)
+    , prefillTokensPerMs_(options.prefillTokensPerMs)
 {
 }
 
@@ -71,10 +102,10 @@
 double
 StagePlanner::relativeUtilisation(unsigned prefillEngines, unsigned decodeEngines, const EngineTraits &traits, const EngineWork &work) const
 {
-    const double prefillLoad = work.prefilledTokens / options_.prefillTokensPerMs;
+    const double prefillLoad = work.prefilledTokens / prefillTokensPerMs_;
     // A decode engine prefills at half the speed of a prefill engine.
-    const double decodeLoad = work.transferredTokens * transferMsPerToken(traits)
-        + work.decodePrefilledTokens * 2 / options_.prefillTokensPerMs + work.busySlots / traits.slots;
+    const double decodeLoad = work.transferredTokens * transferMsPerToken(traits) + work.decodePrefilledTokens * 2 / prefillTokensPerMs_
+        + work.busySlots / traits.slots;
     return std::max(prefillLoad / prefillEngines / options_.targetPrefillUtilisation,
                     decodeLoad / decodeEngines / options_.targetDecodeUtilisation);
 }
@@ -118,13 +149,40 @@
     averagedAt_ = now;
 }
 
+void StagePlanner::updateRate(const std::vector<EndpointRecord> &engines, const EngineRates &rates, TimePoint now)
+{
+    prefillTokensPerMs_ = options_.prefillTokensPerMs;
+    // If there was no traffic at first, the average contains assumed work until then, which was reckoned with the stated rate.
+    const bool isAverageObserved
+        = !startedIdle_ || (workSince_ && now - *workSince_ >= AveragingTimesUntilObserved * options_.averagingTime);
+    if (!isAverageObserved) {
+        return;
+    }
+    std::size_t prefillEngines = 0;
+    EngineRates known;
+    for (const EndpointRecord &engine : engines) {
+        if (engine.stage != EngineStage::Prefill) {
+            continue;
+        }
+        ++prefillEngines;
+        if (const auto it = rates.find(engine.id); it != rates.end()) {
+            known.insert(*it);
+        }
+    }
+    if (!known.empty() && static_cast<double>(known.size()) >= options_.minKnownFraction * static_cast<double>(prefillEngines)) {
+        prefillTokensPerMs_ = meanRate(known);
+    }
+}
+
 std::vector<StageChange> StagePlanner::plan(const std::vector<EndpointRecord> &engines,
                                             unsigned changing,
                                             const EngineTraits &traits,
                                             const std::optional<EngineWork> &work,
-                                            TimePoint now)
+                                            TimePoint now,
+                                            const EngineRates &rates)
 {
     updateAverage(work, engines.size(), traits, now);
+    updateRate(engines, rates, now);
     std::vector<StageChange> changes;
     const auto count = static_cast<unsigned>(engines.size());
     if (std::exchange(engineCount_, engines.size()) != engines.size()) {
@@ -159,7 +217,7 @@
     while (prefillEngines != wanted && changing + changes.size() < maxChanging) {
         const EngineStage from = prefillEngines < wanted ? EngineStage::Decode : EngineStage::Prefill;
         const EngineStage to = prefillEngines < wanted ? EngineStage::Prefill : EngineStage::Decode;
-        const auto engine = planned.begin() + (selectEngine(planned, from) - planned.cbegin());
+        const auto engine = planned.begin() + (selectEngine(planned, from, rates) - planned.cbegin());
         changes.push_back({*engine, to, isStageEmpty});
         engine->stage = to;
         prefillEngines += prefillEngines < wanted ? 1 : -1;
--- a/src/libserving/stageplanner.h
+++ b/src/libserving/stageplanner.h
@@ -32,9 +32,12 @@
     EngineWork scaled(double factor) const;
 };
 
+/** Learned prefill rates in tokens per millisecond, by engine id; engines whose rate isn't known are left out. */
+using EngineRates = std::map<std::string, double>;
+
 struct StagePlannerOptions
 {
-    /** Prefill throughput of an engine alongside its other work. */
+    /** Prefill throughput of an engine alongside its other work, while too few were learned. */
     double prefillTokensPerMs = 320;
     /** Factor on the time of a KV cache transfer at link speed, since transfers between data centres take longer. */
     double transferOverhead = 1.7;
@@ -63,6 +66,8 @@
     Duration minObservationTime = std::chrono::seconds(20);
     /** Minimum number of engines in each stage if there are at least twice as many, so that losing one doesn't stop the service. */
     unsigned minEnginesPerStage = 2;
+    /** Fraction of the prefill engines whose rate must be known so that the mean rate takes the place of the stated one. */
+    double minKnownFraction = 0.5;
     /** Maximum fraction of the engines that may be changing their stage at the same time. */
     double maxChangingFraction = 0.5;
 };
@@ -88,23 +93,28 @@
      * @param engines those that accept requests; an engine whose change is in progress is listed with its new stage.
      * @param changing number of engines whose change is in progress.
      * @param work empty if there has been no traffic.
+     * @param rates as far as they were learned. Of the engines of a data centre, the fastest prefill.
      */
     std::vector<StageChange> plan(const std::vector<EndpointRecord> &engines,
                                   unsigned changing,
                                   const EngineTraits &traits,
                                   const std::optional<EngineWork> &work,
-                                  TimePoint now);
+                                  TimePoint now,
+                                  const EngineRates &rates = {});
 
 private:
     /** The higher of both stages' utilisations, each relative to its target. */
     double relativeUtilisation(unsigned prefillEngines, unsigned decodeEngines, const EngineTraits &traits, const EngineWork &work) const;
     void updateAverage(const std::optional<EngineWork> &work, std::size_t engines, const EngineTraits &traits, TimePoint now);
+    void updateRate(const std::vector<EndpointRecord> &engines, const EngineRates &rates, TimePoint now);
     /** The workload that is assumed for that many engines. */
     EngineWork assumedWork(std::size_t engines, const EngineTraits &traits) const;
     /** Time that an engine needs to fetch a token's KV cache. */
     double transferMsPerToken(const EngineTraits &traits) const;
 
     StagePlannerOptions options_;
+    /** Prefill throughput that the plan reckons with: the stated one or the mean of the learned ones. */
+    double prefillTokensPerMs_;
     /** Number of engines at the last call of plan(), and since when it has been constant. */
     std::size_t engineCount_ = 0;
     TimePoint engineCountSince_{};
