--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -17,6 +17,7 @@
 #include "quotaadmission.h"
 #include "retrybudget.h"
 #include "routecatalogue.h"
+#include "speedobserver.h"
 #include "stopschedule.h"
 
 #include <asio/io_context.hpp>
@@ -39,6 +40,7 @@
     EndpointDirectory &directory;
     EndpointLoads &loads;
     PlacementPolicy &placement;
+    SpeedObserver &speeds;
     std::string dataCentre;
     const RegionsByDataCentre &regions;
     FleetCoordinator &fleet;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -92,7 +92,8 @@
           log,
           {[this](const RouteCatalogue &catalogue) { endpointAdmission_.onCatalogue(catalogue); },
            [this](const std::string &dataCentre, TimePoint now, Duration) { endpointAdmission_.onDataCentreReleased(dataCentre, now); }})
-    , placement_(PlacementOptions{}, loads_)
+    , placement_(PlacementOptions{}, loads_, speeds_)
+    , speedObserver_(speeds_, loads_, metrics)
     , pool_(context, EndpointPoolOptions{})
     , quotaLinks_(context, log)
     , quotas_(
@@ -124,6 +125,7 @@
           quotaLinks_,
           quotas_.limits(),
           endpointAdmission_,
+          speeds_,
           [this] { return operatorRows_.catalogue(); },
           incarnation_,
           metrics_,
@@ -137,6 +139,7 @@
                   directory_,
                   loads_,
                   placement_,
+                  speedObserver_,
                   settings_.dataCentre,
                   settings_.regions,
                   fleet_,
@@ -303,6 +306,7 @@
         pool_.closeIdleConnections(record);
         loads_.removeEndpoint(record.id);
         placement_.removeEndpoint(record.id);
+        speeds_.removeEndpoint(record);
         endpointAdmission_.removeEndpoint(record);
     }
 }
@@ -315,6 +319,7 @@
     }
     loads_.keepOnly(present);
     placement_.keepOnly(present);
+    speeds_.keepOnly(present);
 }
 
 void PlatformGateway::onRequest(const std::shared_ptr<CallerExchange> &exchange)
