--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -93,7 +93,11 @@
           {[this](const RouteCatalogue &catalogue) { endpointAdmission_.onCatalogue(catalogue); },
            [this](const std::string &dataCentre, TimePoint now, Duration) { endpointAdmission_.onDataCentreReleased(dataCentre, now); }})
     , placement_(PlacementOptions{}, loads_, speeds_)
-    , speedObserver_(speeds_, loads_, metrics)
+    , speedObserver_(
+          speeds_,
+          loads_,
+          [this](const EndpointRecord &endpoint, TimePoint now) { return endpointAdmission_.coldStarts().isCold(endpoint, now); },
+          metrics)
     , pool_(context, EndpointPoolOptions{})
     , quotaLinks_(context, log)
     , quotas_(
--- a/src/chestnutcove/speedobserver.cpp
+++ b/src/chestnutcove/speedobserver.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <bit>
 #include <numeric>
+#include <utility>
 
 namespace Chestnutcove {
 
@@ -27,9 +28,10 @@
 
 }
 
-SpeedObserver::SpeedObserver(EndpointSpeeds &speeds, const EndpointLoads &loads, Metrics &metrics)
+SpeedObserver::SpeedObserver(EndpointSpeeds &speeds, const EndpointLoads &loads, ColdCheck isCold, Metrics &metrics)
     : speeds_(speeds)
     , loads_(loads)
+    , isCold_(std::move(isCold))
 {
     // Three figures in place of one for each endpoint, so that the number of metrics doesn't rise with the endpoints that ever were.
     metrics.gauge("endpoint_prefill_tokens_per_ms{figure=\"least\"}", [this] { return least(speeds_.prefillRates(suspendAwareNow())); });
@@ -43,6 +45,9 @@
 
 void SpeedObserver::onPrefilled(const OutgoingCall &call, TimePoint now)
 {
+    if (isCold_(call.endpoint, now)) {
+        return;
+    }
     PrefillSample sample;
     sample.tokens = call.promptWork.tokens;
     sample.duration = now - call.startedAt;
@@ -53,6 +58,9 @@
 
 void SpeedObserver::onRunAnswered(const OutgoingCall &call, const std::string &route, std::uint64_t maxOutputTokens, TimePoint now)
 {
+    if (isCold_(call.endpoint, now)) {
+        return;
+    }
     // Answers of one order of magnitude take similar times.
     const std::string requestClass = call.endpoint.service + '/' + route + '/' + std::to_string(std::bit_width(maxOutputTokens));
     speeds_.serviceTimes().onAnswered(call.endpoint, requestClass, now - call.startedAt, call.answer.load, now);
--- a/src/chestnutcove/speedobserver.h
+++ b/src/chestnutcove/speedobserver.h
@@ -9,6 +9,7 @@
 #include "outgoingcall.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace Chestnutcove {
@@ -16,7 +17,10 @@
 class SpeedObserver
 {
 public:
-    SpeedObserver(EndpointSpeeds &speeds, const EndpointLoads &loads, Metrics &metrics);
+    using ColdCheck = std::function<bool(const EndpointRecord &endpoint, TimePoint now)>;
+
+    /** @param isCold whether the endpoint is cold; its calls show nothing of its usual speed then. */
+    SpeedObserver(EndpointSpeeds &speeds, const EndpointLoads &loads, ColdCheck isCold, Metrics &metrics);
 
     /** The call has succeeded and was recorded in the loads as ended. */
     void onPrefilled(const OutgoingCall &call, TimePoint now);
@@ -26,6 +30,7 @@
 private:
     EndpointSpeeds &speeds_;
     const EndpointLoads &loads_;
+    ColdCheck isCold_;
 };
 
 }
