--- a/src/chestnutcove/platformtable.h
+++ b/src/chestnutcove/platformtable.h
@@ -15,7 +15,7 @@
 
 inline constexpr Milliseconds MinLongPoll{1000};
 
-/** How long the service may hold a poll. Silence is noticed while the platform doesn't count this VM as in touch anyway. */
+/** Longest time for which the store may hold a poll: the contact time less a margin, so that a dead link is noticed within it. */
 inline Milliseconds longPollTimeout(const Platform::PlatformSettings &settings)
 {
     constexpr Milliseconds Margin{1200};
--- a/src/libproxy/callerconnection.cpp
+++ b/src/libproxy/callerconnection.cpp
@@ -287,7 +287,7 @@
         closeNow();
         return;
     }
-    // From now on a connection to an endpoint belongs to it, for which others may have to close.
+    // The request may open a connection to an endpoint, which counts too, so other connections are closed to make room.
     member_.setUse(ConnectionUse::Responding);
     if (!shared_->budget->connections.makeRoom(0)) {
         dispatchWithoutBody();
@@ -365,6 +365,7 @@
 void CallerConnection::closeNow()
 {
     const auto self = shared_from_this();
+    // Not setPhase(): a connection that was closed to make room must not be counted again.
     phase_ = Phase::Closing;
     socket_->close();
     shared_->connections.erase(self);
--- a/src/libproxy/callerserver.cpp
+++ b/src/libproxy/callerserver.cpp
@@ -234,7 +234,7 @@
             return isNoneWaiting || error == asio::error::connection_aborted;
         }
         if (!shared_->budget->connections.makeRoom(1)) {
-            // Every connection has a request in progress. The new one is closed, as if nobody listened.
+            // Every connection has a request in progress, so the new one is closed at once.
             continue;
         }
         auto buffered = std::make_shared<BufferedSocket>(std::move(socket), CallerAckTimeout);
--- a/src/libroutes/endpointrecord.h
+++ b/src/libroutes/endpointrecord.h
@@ -49,7 +49,7 @@
     std::uint64_t startedAt = 0;
     /** Rises with each entry that this run of the endpoint writes; 0 if the endpoint doesn't report it. */
     std::uint64_t sequence = 0;
-    /** Time until the cold start ends; the endpoint responds slowly until then. */
+    /** Time until the cold start ends; until then the endpoint tolerates only a limited rate of requests. */
     Milliseconds coldStartRemaining{0};
 
     /** Whether both records describe the same run of the same endpoint, with no restart between them. */
--- a/src/libserving/coldshares.h
+++ b/src/libserving/coldshares.h
@@ -55,7 +55,7 @@
     void onDivisionRead(const QuotaDivision &division, TimePoint readAt, TimePoint now);
     /** The division that was read last was still the stored one at @p readAt. */
     void onDivisionConfirmed(TimePoint readAt);
-    /** Without a division this gateway sends nothing if one is required, or else counts as the only gateway. */
+    /** Without a division this gateway sends nothing if one is required, or else the margin of a gateway that is alone. */
     void setDivisionRequired(bool isRequired);
 
     /** Rises with each change of the division. */
--- a/src/libserving/evacuations.h
+++ b/src/libserving/evacuations.h
@@ -27,7 +27,7 @@
     /** Called when a data centre is taken back. @param lasted time since its row was read. */
     using ReleaseHandler = std::function<void(const std::string &dataCentre, TimePoint now, Duration lasted)>;
 
-    /** @param onReleased may be empty. It is called before dataCentres() lacks the data centre for anybody else. */
+    /** @param onReleased may be empty. It is called right after the data centre was removed from dataCentres(). */
     explicit Evacuations(EvacuationOptions options, ReleaseHandler onReleased = nullptr);
 
     /** Applies a full read of the store: @p dataCentres are all that have a row. */
--- a/src/libserving/stageplanner.cpp
+++ b/src/libserving/stageplanner.cpp
@@ -12,7 +12,7 @@
 /** Bits per millisecond of a link of 1 Mbit/s. */
 constexpr double BitsPerMillisecond = 1000;
 constexpr double MinTransferMsPerToken = 1e-9;
-/** After that many averaging times an eighth of the average is older. */
+/** Averaging times after which the work that was assumed at the start has decayed to exp(-2), about 14 %. */
 constexpr int AveragingTimesUntilObserved = 2;
 
 /** The mean of the learned rates; 0 if there are none. */
