Forwarding: the log, the relayed answer, the held prompt, the deadline and the unit of a limit are classes of their own

A split along the phases of a request (prefill, run) was ruled out: both share placement, retry and the end of calls.

Moved without a change of behaviour: log lines, metrics and accounting to RequestLog, the answer that is sent on while it arrives to AnswerRelay, the prompt that an engine holds to HeldPrompt, deadline and retry time to RequestDeadline, the unit of an endpoint's limit to EndpointUnit, the encoding of a call to outgoingcall.cpp, AdmittedRequest to a header of its own.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -1,10 +1,6 @@
 #include "forwardedrequest.h"
 
-#include "eventstream.h"
-#include "rendezvous.h"
-#include "shortcall.h"
 #include "suspendclock.h"
-#include "text.h"
 
 #include <asio/post.hpp>
 
@@ -18,37 +14,13 @@
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
-/** Whole answers up to this size are buffered, so that the request can be retried if one is cut off; longer ones are sent in pieces. */
-constexpr std::size_t MaxBufferedAnswerBytes = std::size_t{256} * 1024;
-/** Bytes of an answer that can't be forwarded, such as a failure or the beginning of an event, after which it is broken off. */
-constexpr std::size_t MaxKeptAnswerBytes = std::size_t{1024} * 1024;
-/** Number of bytes buffered for a slow caller above which reading from the endpoint is paused. */
-constexpr std::size_t MaxPendingBytes = std::size_t{256} * 1024;
 /** Time after the deadline within which an answer that the endpoint sent at the deadline may still arrive. */
 constexpr Milliseconds DeadlineSlack{15};
-/** Callers are told to retry after at most the time left divided by this. */
-constexpr int RetryAfterDivisor = 3;
-constexpr Milliseconds MinRetryAfter{50};
-constexpr Milliseconds RetryAfterJitter{400};
 /** Urgency of calls, from 0 (most urgent) to 9. Requests that are predicted to be late have lower priority than others. */
 constexpr int ShortAnswerUrgency = 3;
 constexpr int LateUrgency = 8;
 /** Maximum number of prefill calls for one request. */
 constexpr unsigned MaxPrefillCalls = 2;
-/** Maximum number of runs with one held prompt. Then it is prefilled again, since its KV cache may be gone from the prefill engine. */
-constexpr unsigned MaxHeldPromptRuns = 2;
-
-bool isBrokenOff(AttemptOutcome outcome)
-{
-    return outcome == AttemptOutcome::NoAnswer || outcome == AttemptOutcome::Broken;
-}
-
-/** Whether the response states no other content type than that of an event stream. */
-bool mayBeEventStream(const ResponseHead &head)
-{
-    const HeaderField *type = findField(head.fields, "Content-Type");
-    return type == nullptr || lowerCase(trimmed(type->value)).starts_with("text/event-stream");
-}
 
 }
 
@@ -56,15 +28,15 @@
     : context_(context)
     , exchange_(std::move(exchange))
     , request_(std::move(request))
+    , requestLog_(context_, *exchange_, request_)
+    , relay_(*exchange_, context_.metrics)
     , attemptPolicy_(request_.route->mayRepeat(), request_.route->maxAttempts)
+    , deadline_(request_, exchange_->arrivedAt())
     , deadlineTimer_(context.ioContext)
+    , unit_(context.endpoints)
+    , heldPrompt_(context.pool)
     , keptBytes_(context.keptAnswers, [this] { onKeptBytesExceeded(); })
 {
-    Milliseconds maxWait = request_.route->timeout;
-    if (request_.facts.maxWait) {
-        maxWait = std::min(maxWait, *request_.facts.maxWait);
-    }
-    deadline_ = exchange_->arrivedAt() + maxWait;
     placementQuery_.dataCentre = context_.dataCentre;
     placementQuery_.parts = request_.facts.promptParts;
     placementQuery_.promptTokens = request_.facts.promptTokens.value_or(0);
@@ -82,7 +54,7 @@
             self->call_->connection->resumeReading();
         }
     });
-    deadlineTimer_.expires_after(std::max(Duration(timeLeft()), Duration::zero()) + DeadlineSlack);
+    deadlineTimer_.expires_after(std::max(Duration(deadline_.timeLeft()), Duration::zero()) + DeadlineSlack);
     deadlineTimer_.async_wait([weak = weak_from_this()](const std::error_code &error) {
         const auto self = weak.lock();
         if (!error && self) {
@@ -98,33 +70,20 @@
     return request_.route->kind == RequestKind::Streaming;
 }
 
-Milliseconds ForwardedRequest::timeLeft() const
-{
-    return std::chrono::duration_cast<Milliseconds>(deadline_ - suspendAwareNow());
-}
-
-Milliseconds ForwardedRequest::retryAfterDelay(Duration wait) const
-{
-    // The jitter depends on the request's id, so that callers that were refused at the same time retry at different times.
-    const auto jitter = Milliseconds(rendezvousHash(request_.facts.requestId) % RetryAfterJitter.count());
-    const Milliseconds delay = std::chrono::duration_cast<Milliseconds>(wait) + MinRetryAfter + jitter;
-    return std::max(MinRetryAfter, std::min(delay, timeLeft() / RetryAfterDivisor - MinRetryAfter));
-}
-
 void ForwardedRequest::placeRequest()
 {
-    if (timeLeft() <= Milliseconds::zero()) {
+    if (deadline_.hasPassed()) {
         onDeadline();
         return;
     }
     const TimePoint now = suspendAwareNow();
-    if (!context_.stopSchedule.mayBegin(now, deadline_)) {
+    if (!context_.stopSchedule.mayBegin(now, deadline_.time())) {
         endWithoutEndpointAnswer();
         return;
     }
-    placementQuery_.maxWait = deadline_ - now;
+    placementQuery_.maxWait = deadline_.time() - now;
     placement_ = context_.placement.place(placementQuery_, usableEndpoints(now), now);
-    recordPlacedWork(placement_);
+    requestLog_.onPlaced(placement_, placementQuery_.promptTokens);
     switch (placement_.result) {
     case Placement::Result::NoEndpoint:
         context_.metrics.counter("requests_without_endpoint_total").add();
@@ -132,7 +91,7 @@
         return;
     case Placement::Result::Overloaded:
         context_.metrics.counter("requests_overloaded_total").add();
-        refuseRequest(retryAfterDelay(placement_.expectedWait));
+        refuseRequest(deadline_.retryAfter(placement_.expectedWait));
         return;
     case Placement::Result::Placed:
         break;
@@ -155,44 +114,14 @@
         send();
         return;
     }
-    const auto isDecided = std::make_shared<bool>(false);
-    const auto id = context_.endpoints.takeUnit(
-        endpoint, [self = shared_from_this(), isDecided, endpoint, send = std::move(send)](std::optional<LimitCharge> unit) {
-            *isDecided = true;
-            self->pendingUnit_.reset();
-            self->unit_ = std::move(unit);
-            if (self->unit_) {
-                send();
-                return;
-            }
-            self->placementQuery_.excluded.insert(endpoint.id);
-            self->retryRequest();
-        });
-    if (!*isDecided) {
-        pendingUnit_ = id;
-    }
-}
-
-void ForwardedRequest::returnUnusedUnit()
-{
-    if (unit_) {
-        context_.endpoints.returnUnit(*std::exchange(unit_, std::nullopt));
-    }
-}
-
-void ForwardedRequest::recordPlacedWork(const Placement &placement)
-{
-    if (!request_.service->engine || std::exchange(isWorkRecorded_, true)) {
-        return;
-    }
-    EngineWork work;
-    if (placement.prefillEngine) {
-        work.prefilledTokens = static_cast<double>(placement.uncachedTokens);
-        work.transferredTokens = static_cast<double>(placementQuery_.promptTokens);
-    } else {
-        work.decodePrefilledTokens = static_cast<double>(placementQuery_.promptTokens);
-    }
-    context_.fleet.recordWork(request_.service->name, work);
+    unit_.take(endpoint, [self = shared_from_this(), id = endpoint.id, send = std::move(send)](bool isTaken) {
+        if (isTaken) {
+            send();
+            return;
+        }
+        self->placementQuery_.excluded.insert(id);
+        self->retryRequest();
+    });
 }
 
 bool ForwardedRequest::chargeRetryBudget(CallWork work)
@@ -238,7 +167,7 @@
     call_->prefilled = facts.prefilled;
     call_->startedAt = suspendAwareNow();
     call_->promptWork = {uncachedTokens, placement_.isLate, call_->startedAt};
-    lastEndpointId_ = endpoint.id;
+    requestLog_.onCallStarted(*call_);
     context_.loads.onCallStarted(endpoint.id, call_->promptWork);
     facts.customer = request_.customer;
     if (work == CallWork::Run && request_.service->engine && placement_.hasShortAnswer) {
@@ -268,7 +197,7 @@
         }
         if (!connection.ok() || mustNotSend) {
             const OutgoingCall call = self->endCall(AttemptOutcome::NotSent);
-            self->logFailure(call, AttemptOutcome::NotSent);
+            self->requestLog_.logFailure(call, AttemptOutcome::NotSent);
             if (call.work == CallWork::Prefill) {
                 self->onPrefillEnd(call, AttemptOutcome::NotSent);
             } else {
@@ -282,32 +211,17 @@
 
 bool ForwardedRequest::mustNotSendTo(const EndpointRecord &endpoint) const
 {
-    return timeLeft() <= Milliseconds::zero() || !context_.directory.isUsable(endpoint, suspendAwareNow());
+    return deadline_.hasPassed() || !context_.directory.isUsable(endpoint, suspendAwareNow());
 }
 
 void ForwardedRequest::sendOverConnection(const std::shared_ptr<EndpointConnection> &connection, const Platform::ForwardingMetadata &given)
 {
     Platform::ForwardingMetadata facts = given;
-    facts.timeLeft = timeLeft();
+    facts.timeLeft = deadline_.timeLeft();
     call_->connection = connection;
-    lastSentAt_ = suspendAwareNow();
-    unit_.reset();
-    ConnectionCall call;
-    call.head = Platform::encodeRequest(exchange_->head(), facts);
-    call.body = exchange_->body();
-    // On a connection that has carried another call, an answer without an id may be an earlier one that is written once more.
-    const bool mayLackId = !connection->hasCarriedCalls();
-    call.matchesCall = [id = request_.facts.requestId, mayLackId](const ResponseHead &head) {
-        const std::string answeredId = Platform::decodeResponse(head).requestId;
-        return id.empty() || answeredId == id || (answeredId.empty() && mayLackId && !isSuccessStatus(head.status));
-    };
-    // Answers to prefill calls may come without a request id, also when they report success.
-    if (facts.prefillOnly) {
-        call.matchesCall = [id = request_.facts.requestId](const ResponseHead &head) {
-            const std::string answeredId = Platform::decodeResponse(head).requestId;
-            return answeredId.empty() || answeredId == id;
-        };
-    }
+    requestLog_.onCallSent();
+    unit_.use();
+    ConnectionCall call = encodeCall(exchange_->head(), exchange_->body(), facts, request_.facts.requestId, connection->hasCarriedCalls());
     const auto self = shared_from_this();
     call.onHead = [self](const ResponseHead &head, std::optional<std::uint64_t>) { self->onHead(head); };
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
@@ -321,22 +235,9 @@
     call_->answer = Platform::decodeResponse(head);
     call_->framing = call_->connection->responseFraming();
     call_->isEventStream = isStreaming() && call_->work == CallWork::Run && mayBeEventStream(head);
-    if (call_->answer.load) {
-        context_.loads.onLoadReported(call_->endpoint.id, *call_->answer.load, suspendAwareNow());
-    }
-    context_.endpoints.onAnswer(*call_);
-    if (call_->answer.isLeaving) {
-        context_.directory.onLeaving(call_->endpoint);
-    }
-    if (call_->answer.turnedAwayFor) {
-        context_.directory.onTurnedAway(call_->endpoint, suspendAwareNow() + *call_->answer.turnedAwayFor);
-    }
-    const bool hasBegun = call_->work == CallWork::Run && !call_->answer.notRun;
-    if (hasBegun) {
-        heldPrompt_.reset();
-    }
-    if (hasBegun && !std::exchange(hasRunBegun_, true)) {
-        context_.fleet.recordRequest(request_.customer);
+    requestLog_.onHead(*call_);
+    if (call_->hasRunBegun()) {
+        heldPrompt_.forget();
     }
 }
 
@@ -345,12 +246,7 @@
     if (call_->isGivenUp) {
         return;
     }
-    call_->body.append(bytes);
-    const bool isPiecewise = call_->isEventStream || exchange_->hasBegun() || call_->body.size() > MaxBufferedAnswerBytes;
-    if (isPiecewise && mayForwardBody()) {
-        forwardBody();
-    }
-    if (call_->body.size() > MaxKeptAnswerBytes) {
+    if (!relay_.onBody(*call_, bytes)) {
         call_->isGivenUp = true;
         breakOffCall();
         return;
@@ -358,18 +254,10 @@
     keptBytes_.resize(call_->body.size());
 }
 
-bool ForwardedRequest::mayForwardBody() const
-{
-    return call_->work == CallWork::Run && call_->isSuccess() && call_->answer.isSigned;
-}
-
 void ForwardedRequest::onKeptBytesExceeded()
 {
-    if (mayForwardBody()) {
-        forwardBody();
-        if (call_->body.empty()) {
-            return;
-        }
+    if (relay_.tryFlush(*call_)) {
+        return;
     }
     call_->isGivenUp = true;
     call_->body = {};
@@ -388,39 +276,11 @@
     onCallEnd(CallOutcome::Broken);
 }
 
-void ForwardedRequest::forwardBody()
-{
-    // Only complete events are forwarded, so that a broken stream never ends inside an event.
-    std::size_t size = call_->body.size();
-    if (call_->isEventStream) {
-        size = wholeEventsSize(call_->body, call_->searchedBytes);
-        call_->searchedBytes = call_->body.size() - size;
-    }
-    if (size == 0) {
-        return;
-    }
-    beginAnswer(*call_->head);
-    exchange_->sendBody(std::string_view(call_->body).substr(0, size));
-    call_->body.erase(0, size);
-    if (exchange_->pendingBytes() > MaxPendingBytes && call_->connection) {
-        call_->connection->pauseReading();
-    }
-}
-
-void ForwardedRequest::beginAnswer(const ResponseHead &head)
-{
-    if (exchange_->hasBegun()) {
-        return;
-    }
-    context_.metrics.distribution("first_byte_seconds").add(toSeconds(suspendAwareNow() - exchange_->arrivedAt()));
-    exchange_->beginResponse(Platform::encodeResponse(head), std::nullopt);
-}
-
 void ForwardedRequest::onCallEnd(CallOutcome end)
 {
     const AttemptOutcome outcome = call_->outcomeOf(end);
     OutgoingCall call = endCall(outcome);
-    logFailure(call, outcome);
+    requestLog_.logFailure(call, outcome);
     if (call.work == CallWork::Prefill) {
         onPrefillEnd(call, outcome);
     } else {
@@ -428,39 +288,12 @@
     }
 }
 
-void ForwardedRequest::logFailure(const OutgoingCall &call, AttemptOutcome outcome) const
-{
-    if (outcome == AttemptOutcome::Succeeded) {
-        return;
-    }
-    const auto &load = context_.loads.loadOf(call.endpoint.id);
-    const auto lasted = std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - call.startedAt);
-    context_.log.info("call failed",
-                      {{"request", request_.facts.requestId},
-                       {"digest", request_.content.digest},
-                       {"endpoint", call.endpoint.id},
-                       {"work", std::string(nameOf(CallWorkNames, call.work))},
-                       {"outcome", std::string(nameOf(AttemptOutcomeNames, outcome))},
-                       {"status", call.head ? std::to_string(call.head->status) : "none"},
-                       {"endsWith", call.head ? std::string(nameOf(BodyFramingNames, call.framing)) : "none"},
-                       {"unforwardedBytes", std::to_string(call.body.size())},
-                       {"givenUp", call.isGivenUp ? "yes" : "no"},
-                       {"ms", std::to_string(lasted.count())},
-                       {"ownCalls", std::to_string(load.calls)},
-                       {"reportedRunning", std::to_string(load.reported.running)},
-                       {"reportedWaiting", std::to_string(load.reported.waiting)}});
-}
-
 OutgoingCall ForwardedRequest::endCall(AttemptOutcome outcome)
 {
     OutgoingCall call = std::move(*call_);
     call_.reset();
-    if (call.work == CallWork::Run && request_.service->engine) {
-        EngineWork work;
-        work.busySlots = toSeconds(suspendAwareNow() - call.startedAt) * 1000;
-        context_.fleet.recordWork(request_.service->name, work);
-    }
-    returnUnusedUnit();
+    requestLog_.onCallEnded(call);
+    unit_.returnUnused();
     keptBytes_.resize(0);
     arrivalCounter_.onCallEnded(call.work, outcome);
     context_.loads.onCallEnded(call.endpoint.id, call.promptWork, outcome, suspendAwareNow());
@@ -475,16 +308,12 @@
     if (outcome == AttemptOutcome::Succeeded) {
         const auto handle = Platform::decodePrefillHandle(call.body);
         if (handle.ok()) {
-            context_.metrics.distribution("prefill_seconds").add(toSeconds(suspendAwareNow() - call.startedAt));
-            context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
-            context_.placement.recordPrefill(call.endpoint.id, request_.facts.promptParts, call.promptWork.tokens);
-            heldPrompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
-            heldPromptEngine_ = call.endpoint;
-            heldPromptRuns_ = 0;
+            requestLog_.onPrefilled(call);
+            heldPrompt_.hold(call.endpoint, *handle);
             if (sendRunWithHeldPrompt()) {
                 return;
             }
-            releaseHeldPrompt();
+            heldPrompt_.release();
         }
     }
     placementQuery_.excluded.insert(call.endpoint.id);
@@ -497,9 +326,7 @@
 
 void ForwardedRequest::onRunEnd(OutgoingCall call, AttemptOutcome outcome)
 {
-    answerFraming_ = call.framing;
-    unforwardedBytes_ = call.body.size();
-    reportRunEnd(call, outcome);
+    requestLog_.onRunEnded(call, outcome);
     if (exchange_->hasBegun()) {
         if (outcome == AttemptOutcome::Succeeded) {
             exchange_->sendBody(call.body);
@@ -516,7 +343,7 @@
     placementQuery_.excluded.insert(call.endpoint.id);
     if (outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::NotRun) {
         // The endpoint has fetched the KV cache of the held prompt, or may have.
-        heldPrompt_.reset();
+        heldPrompt_.forget();
     }
     const bool mayCrashAnother = isBrokenOff(outcome) && context_.fleet.crashReporter().isSuspected(request_.content);
     if (step == NextStep::Retry && mayCrashAnother) {
@@ -526,18 +353,6 @@
     performStep(step, call);
 }
 
-void ForwardedRequest::reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome)
-{
-    CrashReporter &reporter = context_.fleet.crashReporter();
-    if (outcome == AttemptOutcome::Succeeded) {
-        reporter.onRunAnswered(request_.content);
-    } else if (outcome == AttemptOutcome::Failed) {
-        reporter.onRunFailed(request_.content);
-    } else if (isBrokenOff(outcome) && !call.isGivenUp && !exchange_->hasBegun()) {
-        reporter.onRunBroken(call.endpoint, request_.content, call.startedAt);
-    }
-}
-
 void ForwardedRequest::performStep(NextStep step, const OutgoingCall &call)
 {
     switch (step) {
@@ -556,17 +371,17 @@
 
 void ForwardedRequest::retryRequest()
 {
-    if (heldPrompt_ && heldPromptRuns_ < MaxHeldPromptRuns && timeLeft() > Milliseconds::zero() && sendRunWithHeldPrompt()) {
+    if (heldPrompt_.mayRun() && !deadline_.hasPassed() && sendRunWithHeldPrompt()) {
         return;
     }
-    releaseHeldPrompt();
+    heldPrompt_.release();
     placeRequest();
 }
 
 bool ForwardedRequest::sendRunWithHeldPrompt()
 {
     const TimePoint now = suspendAwareNow();
-    if (!context_.stopSchedule.mayBegin(now, deadline_)) {
+    if (!context_.stopSchedule.mayBegin(now, deadline_.time())) {
         return false;
     }
     const auto engine = context_.placement.chooseRunEndpoint(placementQuery_, usableEndpoints(now), now);
@@ -574,8 +389,8 @@
         return false;
     }
     sendWithinLimit(*engine, [this, endpoint = *engine] {
-        ++heldPromptRuns_;
-        sendRun(endpoint, heldPrompt_);
+        heldPrompt_.onRunStarted();
+        sendRun(endpoint, heldPrompt_.prompt());
     });
     return true;
 }
@@ -583,11 +398,11 @@
 void ForwardedRequest::endWithoutEndpointAnswer()
 {
     if (attemptPolicy_.mayHaveRun()) {
-        sendOwnAnswer(timeLeft() <= Milliseconds::zero() ? GatewayTimeout : BadGateway, std::nullopt);
+        sendOwnAnswer(deadline_.hasPassed() ? GatewayTimeout : BadGateway, std::nullopt);
     } else {
         const TimePoint now = suspendAwareNow();
         const auto endpoints = context_.directory.usableEndpoints(request_.service->name, now);
-        refuseRequest(retryAfterDelay(context_.endpoints.waitForUnits(endpoints, now)));
+        refuseRequest(deadline_.retryAfter(context_.endpoints.waitForUnits(endpoints, now)));
     }
 }
 
@@ -644,8 +459,8 @@
     // An endpoint whose answer has begun has responded, so the attempt does not count as unanswered.
     const AttemptOutcome outcome = call_->head ? AttemptOutcome::Broken : AttemptOutcome::NoAnswer;
     const OutgoingCall call = endCall(outcome);
-    logFailure(call, outcome);
-    heldPrompt_.reset();
+    requestLog_.logFailure(call, outcome);
+    heldPrompt_.forget();
 }
 
 void ForwardedRequest::onCallerLeft()
@@ -658,68 +473,24 @@
             call_->connection->cancel();
         }
         endCall(AttemptOutcome::Succeeded);
-        heldPrompt_.reset();
+        heldPrompt_.forget();
     }
     finishRequest("caller left", 0);
 }
 
-void ForwardedRequest::releaseHeldPrompt()
-{
-    if (!heldPrompt_) {
-        return;
-    }
-    const auto prompt = *std::exchange(heldPrompt_, std::nullopt);
-    context_.pool.acquire(*heldPromptEngine_, 0, [&pool = context_.pool, holder = *heldPromptEngine_, prompt](const auto &connection) {
-        if (!connection.ok()) {
-            return;
-        }
-        ShortCall::send(pool, holder, *connection, Platform::encodeHandleRelease(prompt), "", [](int, const std::string &) {});
-    });
-}
-
-std::string ForwardedRequest::sentAfterText() const
-{
-    if (lastSentAt_ == TimePoint{}) {
-        return "none";
-    }
-    return std::to_string(std::chrono::duration_cast<Milliseconds>(lastSentAt_ - exchange_->arrivedAt()).count());
-}
-
 void ForwardedRequest::finishRequest(std::string_view outcome, int status)
 {
     isDone_ = true;
     context_.requests.erase(this);
     deadlineTimer_.cancel();
-    if (pendingUnit_) {
-        context_.endpoints.cancel(*std::exchange(pendingUnit_, std::nullopt));
-    }
-    returnUnusedUnit();
-    releaseHeldPrompt();
+    unit_.cancel();
+    heldPrompt_.release();
     if (!attemptPolicy_.mayHaveRun()) {
         context_.quotas.limits().refund(request_.quota);
     }
     exchange_->onCallerGone(nullptr);
     exchange_->onDrained(nullptr);
-    const double seconds = toSeconds(suspendAwareNow() - exchange_->arrivedAt());
-    context_.metrics.counter("requests_total{outcome=\"" + std::string(outcome) + "\"}").add();
-    context_.metrics.distribution("request_seconds").add(seconds);
-    context_.log.info("request done",
-                      {{"request", request_.facts.requestId},
-                       {"route", request_.route->name},
-                       {"customer", request_.customer},
-                       {"endpoint", lastEndpointId_},
-                       {"attempts", std::to_string(attemptPolicy_.attempts())},
-                       {"sentAfterMs", sentAfterText()},
-                       {"prefills", std::to_string(prefillCalls_)},
-                       {"expectedWaitMs", std::to_string(std::chrono::duration_cast<Milliseconds>(placement_.expectedWait).count())},
-                       {"tokensToRead", std::to_string(placement_.uncachedTokens)},
-                       {"late", placement_.isLate ? "yes" : "no"},
-                       {"catalogueVersion", std::to_string(request_.catalogue->version())},
-                       {"status", std::to_string(status)},
-                       {"outcome", std::string(outcome)},
-                       {"endsWith", std::string(nameOf(BodyFramingNames, answerFraming_))},
-                       {"unforwardedBytes", std::to_string(unforwardedBytes_)},
-                       {"ms", std::to_string(static_cast<int>(seconds * 1000))}});
+    requestLog_.onFinished(outcome, status, attemptPolicy_.attempts(), prefillCalls_, placement_);
 }
 
 }
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -43,8 +43,20 @@
 
     /** Whether the answer's head has arrived and reports success. */
     bool isSuccess() const;
+    /** Whether the head has arrived and the endpoint doesn't say that it did not run the request. */
+    bool hasRunBegun() const;
     /** The outcome of the attempt, given how the call ended. */
     AttemptOutcome outcomeOf(CallOutcome end) const;
 };
 
+/**
+ * What is written to the endpoint for the request with @p requestId, and which answers belong to it. The caller adds the handlers.
+ * @param hasCarriedCalls of the connection.
+ */
+ConnectionCall encodeCall(const RequestHead &head,
+                          std::string body,
+                          const Platform::ForwardingMetadata &facts,
+                          const std::string &requestId,
+                          bool hasCarriedCalls);
+
 }
