Hedging: a slow idempotent request gets a second call, off by default

A request that meets a stalled endpoint waited until its deadline, although another endpoint could have answered.

The first complete successful answer wins and the other call's connection is closed. AttemptPolicy counts calls in progress, so that "not run" is said only if neither call can have run.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -32,6 +32,7 @@
     , relay_(*exchange_, context_.metrics)
     , attemptPolicy_(request_.route->mayRepeat(), request_.route->maxAttempts)
     , deadline_(request_, exchange_->arrivedAt())
+    , hedge_({context_, *exchange_, request_, deadline_, requestLog_})
     , deadlineTimer_(context.ioContext)
     , unit_(context.endpoints)
     , heldPrompt_(context.pool)
@@ -62,6 +63,7 @@
         }
     });
     context_.retryBudget(request_.service->name).recordFirstAttempt();
+    hedge_.onFirstAttempt();
     placeRequest();
 }
 
@@ -226,6 +228,11 @@
     call.onHead = [self](const ResponseHead &head, std::optional<std::uint64_t>) { self->onHead(head); };
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
     call.onEnd = [self](CallOutcome end) { self->onCallEnd(end); };
+    hedge_.watch(facts, [weak = weak_from_this()] {
+        if (const auto request = weak.lock()) {
+            request->tryHedge();
+        }
+    });
     connection->send(std::move(call));
 }
 
@@ -252,6 +259,9 @@
         return;
     }
     keptBytes_.resize(call_->body.size());
+    if (exchange_->hasBegun()) {
+        hedge_.cancel();
+    }
 }
 
 void ForwardedRequest::onKeptBytesExceeded()
@@ -281,6 +291,9 @@
     const AttemptOutcome outcome = call_->outcomeOf(end);
     OutgoingCall call = endCall(outcome);
     requestLog_.logFailure(call, outcome);
+    if (outcome == AttemptOutcome::Succeeded) {
+        hedge_.recordTime(call);
+    }
     if (call.work == CallWork::Prefill) {
         onPrefillEnd(call, outcome);
     } else {
@@ -293,6 +306,7 @@
     OutgoingCall call = std::move(*call_);
     call_.reset();
     requestLog_.onCallEnded(call);
+    hedge_.stopWaiting(outcome);
     unit_.returnUnused();
     keptBytes_.resize(0);
     arrivalCounter_.onCallEnded(call.work, outcome);
@@ -338,14 +352,66 @@
         }
         return;
     }
+    placementQuery_.excluded.insert(call.endpoint.id);
+    if (outcome != AttemptOutcome::Succeeded && hedge_.isRunning()) {
+        hedge_.keepFailedRun({std::move(call), outcome});
+        return;
+    }
+    followRun(call, outcome, isBrokenOff(outcome));
+}
+
+void ForwardedRequest::tryHedge()
+{
+    if (isDone_ || !call_ || exchange_->hasBegun()) {
+        return;
+    }
+    const auto endpoint = hedge_.chooseEndpoint(placementQuery_, *call_, attemptPolicy_.attempts());
+    if (!endpoint) {
+        return;
+    }
+    attemptPolicy_.onAttemptStarted();
+    hedge_.start(*endpoint, call_->promptWork, [self = shared_from_this()](OutgoingCall call, AttemptOutcome outcome) {
+        self->onHedgeEnd(std::move(call), outcome);
+    });
+}
+
+void ForwardedRequest::onHedgeEnd(OutgoingCall call, AttemptOutcome outcome)
+{
+    const auto failed = hedge_.onEnded(outcome);
+    arrivalCounter_.onCallEnded(call.work, outcome);
+    if (exchange_->hasBegun()) {
+        return;
+    }
+    requestLog_.onRunEnded(call, outcome);
+    placementQuery_.excluded.insert(call.endpoint.id);
+    if (outcome == AttemptOutcome::Succeeded) {
+        abandonCall();
+        context_.metrics.counter("hedges_won_total").add();
+        requestLog_.onCallStarted(call);
+        followRun(call, outcome, false);
+        return;
+    }
+    if (!failed) {
+        attemptPolicy_.onAttemptEnded(outcome, [] { return false; });
+        return;
+    }
+    // The call that got further says more about the request.
+    const bool isHedgeFurther = outcome > failed->outcome;
+    attemptPolicy_.onAttemptEnded(isHedgeFurther ? failed->outcome : outcome, [] { return false; });
+    followRun(isHedgeFurther ? call : failed->call,
+              isHedgeFurther ? outcome : failed->outcome,
+              isBrokenOff(outcome) || isBrokenOff(failed->outcome));
+}
+
+void ForwardedRequest::followRun(const OutgoingCall &call, AttemptOutcome outcome, bool mayHaveCrashed)
+{
     const NextStep step
         = attemptPolicy_.onAttemptEnded(outcome, [this] { return context_.retryBudget(request_.service->name).mayRetry(); });
-    placementQuery_.excluded.insert(call.endpoint.id);
     if (outcome != AttemptOutcome::NotSent && outcome != AttemptOutcome::NotRun) {
         // The endpoint has fetched the KV cache of the held prompt, or may have.
         heldPrompt_.forget();
     }
-    const bool mayCrashAnother = isBrokenOff(outcome) && context_.fleet.crashReporter().isSuspected(request_.content);
+    const bool mayCrashAnother = mayHaveCrashed && context_.fleet.crashReporter().isSuspected(request_.content);
     if (step == NextStep::Retry && mayCrashAnother) {
         endWithoutEndpointAnswer();
         return;
@@ -414,6 +480,7 @@
 
 void ForwardedRequest::refuseRequest(Milliseconds retryAfter)
 {
+    hedge_.onRefused();
     sendOwnAnswer(Unavailable, retryAfter);
 }
 
@@ -459,6 +526,7 @@
     // An endpoint whose answer has begun has responded, so the attempt does not count as unanswered.
     const AttemptOutcome outcome = call_->head ? AttemptOutcome::Broken : AttemptOutcome::NoAnswer;
     const OutgoingCall call = endCall(outcome);
+    hedge_.recordTime(call);
     requestLog_.logFailure(call, outcome);
     heldPrompt_.forget();
 }
@@ -483,6 +551,7 @@
     isDone_ = true;
     context_.requests.erase(this);
     deadlineTimer_.cancel();
+    hedge_.cancel();
     unit_.cancel();
     heldPrompt_.release();
     if (!attemptPolicy_.mayHaveRun()) {
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -16,6 +16,7 @@
 #include "outgoingcall.h"
 #include "placement.h"
 #include "requestdeadline.h"
+#include "requesthedge.h"
 #include "requestlog.h"
 
 #include <asio/steady_timer.hpp>
@@ -64,6 +65,10 @@
     void onRunEnd(OutgoingCall call, AttemptOutcome outcome);
 
     void relayAnswer(const OutgoingCall &call);
+    /** Retries, or ends the request. @param mayHaveCrashed whether an endpoint may have crashed under the request. */
+    void followRun(const OutgoingCall &call, AttemptOutcome outcome, bool mayHaveCrashed);
+    void tryHedge();
+    void onHedgeEnd(OutgoingCall call, AttemptOutcome outcome);
     void performStep(NextStep step, const OutgoingCall &call);
     void retryRequest();
     /** Sends the request to a decode engine that takes over the held prompt. @return false if no engine can take it. */
@@ -88,6 +93,7 @@
     AnswerRelay relay_;
     AttemptPolicy attemptPolicy_;
     RequestDeadline deadline_;
+    RequestHedge hedge_;
     asio::steady_timer deadlineTimer_;
     std::optional<OutgoingCall> call_;
     /** The unit of the call that is about to be sent. */
--- a/src/chestnutcove/forwardingcontext.cpp
+++ b/src/chestnutcove/forwardingcontext.cpp
@@ -31,6 +31,16 @@
     return retryBudgets.try_emplace(service, retryRatio, retryReserve / gateways).first->second;
 }
 
+HedgePolicy *ForwardingContext::hedgePolicy(const std::string &service)
+{
+    if (hedgeRatio <= 0) {
+        return nullptr;
+    }
+    HedgePolicyOptions options;
+    options.ratio = hedgeRatio;
+    return &hedgePolicies.try_emplace(service, options).first->second;
+}
+
 unsigned ForwardingContext::connectionLimit(const RoutedService &service) const
 {
     const auto gateways = static_cast<double>(fleet.gatewayCount());
--- a/src/chestnutcove/forwardingcontext.h
+++ b/src/chestnutcove/forwardingcontext.h
@@ -10,6 +10,7 @@
 #include "endpointloads.h"
 #include "endpointpool.h"
 #include "fleetcoordinator.h"
+#include "hedgepolicy.h"
 #include "log.h"
 #include "metrics.h"
 #include "placement.h"
@@ -20,6 +21,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_set>
@@ -48,14 +50,21 @@
     double retryRatio = 0;
     /** Retries beyond that ratio, over all gateways. */
     double retryReserve = 0;
+    /** Hedges that each first attempt allows; 0 for none. */
+    double hedgeRatio = 0;
+    /** Whether the event loop is so late that requests are refused. */
+    std::function<bool()> isLate;
     /** Those in progress. */
     std::unordered_set<ForwardedRequest *> requests;
     /** By service. */
     std::map<std::string, RetryBudget> retryBudgets;
+    std::map<std::string, HedgePolicy> hedgePolicies;
 
     /** Gives an answer of the gateway to each request that has none yet. */
     void endRequests();
     RetryBudget &retryBudget(const std::string &service);
+    /** Null if there are no hedges. */
+    HedgePolicy *hedgePolicy(const std::string &service);
     /** Connections that this gateway may have open to one endpoint: its share of those that the endpoint accepts. */
     unsigned connectionLimit(const RoutedService &service) const;
 };
--- a/src/chestnutcove/main.cpp
+++ b/src/chestnutcove/main.cpp
@@ -23,6 +23,9 @@
 /** Limit for each kind of log event. */
 constexpr unsigned PlatformLogLinesPerSecond = 200;
 
+/** Each hedge also takes a retry of the retry budget, which by default is this fraction of requests. */
+constexpr double MaxHedgeRatio = 0.2;
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -84,13 +87,15 @@
     });
 }
 
-ExitCode runPlatformGateway()
+/** @param hedgeRatio hedges that each first attempt allows. */
+ExitCode runPlatformGateway(double hedgeRatio)
 {
-    const auto settings = Platform::loadSettings();
+    auto settings = Platform::loadSettings();
     if (!settings.ok()) {
         std::cerr << settings.status().message() << '\n';
         return ExitCode::Usage;
     }
+    settings->hedgeRatio = hedgeRatio;
     const Log log("gateway " + settings->vmName, LogOptions{LogLevel::Info, LogTarget::StandardOutput, PlatformLogLinesPerSecond});
     Metrics metrics;
     asio::io_context context(1);
@@ -179,11 +184,18 @@
         CLI::Option *onPlatform
             = gateway->add_flag("--platform", onPlatform_, "Run on the users' platform, with the settings that it gives to each process");
         onPlatform->excludes(gatewaySettings);
+        gateway
+            ->add_option("--hedge-ratio",
+                         hedgeRatio_,
+                         "Second calls of slow requests that may run more than once, as a fraction of all requests; 0 for none")
+            ->check(CLI::Range(0.0, MaxHedgeRatio))
+            ->capture_default_str()
+            ->needs(onPlatform);
         gateway->callback([this, gatewaySettings] {
             if (gatewaySettings->count() == 0 && !onPlatform_) {
                 throw CLI::RequiredError("--settings or --platform");
             }
-            action_ = [this] { return onPlatform_ ? runPlatformGateway() : runGateway(file_); };
+            action_ = [this] { return onPlatform_ ? runPlatformGateway(hedgeRatio_) : runGateway(file_); };
         });
         auto *sidecar = app_.add_subcommand("sidecar", "Run the sidecar of one endpoint");
         sidecar->add_option("--settings", file_, "Settings file")->required();
@@ -293,6 +305,7 @@
     std::function<ExitCode()> action_;
     std::string file_;
     bool onPlatform_ = false;
+    double hedgeRatio_ = 0;
     std::string role_;
     std::string kind_;
     std::string name_;
--- a/src/chestnutcove/platformgateway.cpp
+++ b/src/chestnutcove/platformgateway.cpp
@@ -144,7 +144,9 @@
                   keptAnswers_,
                   stopSchedule_,
                   settings_.retryRatio * RetryBudgetFraction,
-                  settings_.retryReserve * RetryBudgetFraction}
+                  settings_.retryReserve * RetryBudgetFraction,
+                  settings_.hedgeRatio,
+                  [this] { return loadShedder_.refusedFraction(eventLoopMonitor_.lateness()) > 0; }}
     , configurationMirror_(context,
                            table_,
                            log,
--- a/src/chestnutcove/requestlog.cpp
+++ b/src/chestnutcove/requestlog.cpp
@@ -118,6 +118,11 @@
     }
 }
 
+void RequestLog::setHedge(HedgeResult result)
+{
+    hedge_ = result;
+}
+
 std::string RequestLog::sentAfterText() const
 {
     if (lastSentAt_ == TimePoint{}) {
@@ -144,6 +149,7 @@
                        {"late", placement.isLate ? "yes" : "no"},
                        {"catalogueVersion", std::to_string(request_.catalogue->version())},
                        {"status", std::to_string(status)},
+                       {"hedge", std::string(nameOf(HedgeResultNames, hedge_))},
                        {"outcome", std::string(outcome)},
                        {"endsWith", std::string(nameOf(BodyFramingNames, answerFraming_))},
                        {"unforwardedBytes", std::to_string(unforwardedBytes_)},
--- a/src/chestnutcove/requestlog.h
+++ b/src/chestnutcove/requestlog.h
@@ -16,6 +16,25 @@
 
 namespace Chestnutcove {
 
+/** What became of the second call of a request. */
+enum class HedgeResult {
+    None,
+    /** The request was slow enough, but must not be hedged; the metrics say why. */
+    Denied,
+    /** The first call was answered first, or the request ended otherwise. */
+    Lost,
+    Failed,
+    Won,
+};
+
+inline constexpr NameTable<HedgeResult, 5> HedgeResultNames{{
+    {HedgeResult::None, "none"},
+    {HedgeResult::Denied, "denied"},
+    {HedgeResult::Lost, "lost"},
+    {HedgeResult::Failed, "failed"},
+    {HedgeResult::Won, "won"},
+}};
+
 class RequestLog
 {
 public:
@@ -36,6 +55,7 @@
     void onPrefilled(const OutgoingCall &call);
     /** Records the answer for the log, and tells the crash reporter how the run of the prompt ended. */
     void onRunEnded(const OutgoingCall &call, AttemptOutcome outcome);
+    void setHedge(HedgeResult result);
     /** @param placement the latest one. */
     void onFinished(std::string_view outcome, int status, unsigned attempts, unsigned prefills, const Placement &placement);
 
@@ -47,6 +67,7 @@
     ForwardingContext &context_;
     const CallerExchange &exchange_;
     const AdmittedRequest &request_;
+    HedgeResult hedge_ = HedgeResult::None;
     bool isWorkRecorded_ = false;
     bool hasRunBegun_ = false;
     /** When the latest call was written to an endpoint; a default TimePoint before the first one. */
--- a/src/libserving/attemptpolicy.cpp
+++ b/src/libserving/attemptpolicy.cpp
@@ -11,7 +11,7 @@
 void AttemptPolicy::onAttemptStarted()
 {
     ++attempts_;
-    inProgress_ = true;
+    ++inProgress_;
 }
 
 bool AttemptPolicy::mayRetry(AttemptOutcome outcome) const
--- a/src/libserving/attemptpolicy.h
+++ b/src/libserving/attemptpolicy.h
@@ -7,6 +7,8 @@
 #include "nametable.h"
 #include "routecatalogue.h"
 
+#include <algorithm>
+
 namespace Chestnutcove {
 
 enum class AttemptOutcome {
@@ -70,14 +72,15 @@
     unsigned maxAttempts_;
     unsigned attempts_ = 0;
     unsigned connectionFailures_ = 0;
-    bool inProgress_ = false;
+    /** Two while a request is hedged. */
+    unsigned inProgress_ = 0;
     bool mayHaveRun_ = false;
 };
 
 template<typename BudgetCheck>
 NextStep AttemptPolicy::onAttemptEnded(AttemptOutcome outcome, BudgetCheck budgetAllows)
 {
-    inProgress_ = false;
+    inProgress_ -= std::min(inProgress_, 1U);
     if (outcome == AttemptOutcome::NotSent) {
         // The endpoint received nothing, so this counts neither as an attempt nor against the retry budget.
         --attempts_;
@@ -95,7 +98,7 @@
 
 inline bool AttemptPolicy::mayHaveRun() const
 {
-    return mayHaveRun_ || inProgress_;
+    return mayHaveRun_ || inProgress_ > 0;
 }
 
 inline unsigned AttemptPolicy::attempts() const
--- a/tests/processes/usersplatformfixture.h
+++ b/tests/processes/usersplatformfixture.h
@@ -46,7 +46,9 @@
         return network + std::to_string(getpid() / 250 % 250) + '.' + std::to_string(getpid() % 250 + 1);
     }
 
-    std::unique_ptr<TestProcess> startGateway(const std::string &vm, const std::string &ip, int revocationMs = 2000)
+    /** @param arguments of the program, in addition to those of each gateway. */
+    std::unique_ptr<TestProcess>
+    startGateway(const std::string &vm, const std::string &ip, int revocationMs = 2000, const std::vector<std::string> &arguments = {})
     {
         const std::string store = "127.0.0.1:" + std::to_string(platform_.port("port"));
         const std::string file = testing::TempDir() + "usersplatform-" + vm + '-' + std::to_string(getpid()) + ".conf";
@@ -55,7 +57,9 @@
                             << "\ncloud.duties=usage_report\nbounds.revoke_ms=" << revocationMs
                             << "\nbounds.usage_window_s=1\nbounds.usage_late_s=4\nbounds."
                                "retry_budget_slack=50\n";
-        return std::make_unique<TestProcess>(std::vector<std::string>{CHESTNUTCOVE, "gateway", "--platform"}, "CHESTNUTCOVE_BOOT", file);
+        std::vector<std::string> command{CHESTNUTCOVE, "gateway", "--platform"};
+        command.insert(command.end(), arguments.begin(), arguments.end());
+        return std::make_unique<TestProcess>(command, "CHESTNUTCOVE_BOOT", file);
     }
 
     void putRow(const std::string &table, const std::string &key, const nlohmann::json &value)
--- a/tests/standins/scriptedendpoint.h
+++ b/tests/standins/scriptedendpoint.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
@@ -31,6 +32,7 @@
         Reset,
     };
 
+    /** An empty one leaves the request without an answer. */
     std::string response;
     AfterResponse afterResponse = AfterResponse::KeepOpen;
     /** Time from the request to the response. */
@@ -60,6 +62,8 @@
     Script lastScript;
     int connections = 0;
     std::atomic<int> requests = 0;
+    /** Connections that the peer closed while it waited for an answer that the script doesn't give. */
+    std::atomic<int> closedWhileWaiting = 0;
 
 private:
     struct Peer
@@ -106,6 +110,10 @@
             script = scripts.front();
             scripts.pop_front();
         }
+        if (script.response.empty() && script.afterResponse == Script::AfterResponse::KeepOpen) {
+            waitForClose(peer);
+            return;
+        }
         if (script.delay == std::chrono::milliseconds::zero()) {
             respond(peer, script);
             return;
@@ -114,6 +122,11 @@
         timer->async_wait([this, peer, script, timer](const std::error_code &) { respond(peer, script); });
     }
 
+    void waitForClose(const std::shared_ptr<Peer> &peer)
+    {
+        asio::async_read(peer->socket, peer->input, [this, peer](const std::error_code &, std::size_t) { ++closedWhileWaiting; });
+    }
+
     void respond(const std::shared_ptr<Peer> &peer, const Script &script)
     {
         std::error_code ignored;
