--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -27,6 +27,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -596,13 +597,16 @@
         }
         port_ = ports["callers"];
         readinessPort_ = ports["readiness"];
-        std::thread([fd = out[0], text, file = log_] {
+        std::thread([fd = out[0], text, file = log_, isPaused = isLogPaused_] {
             std::ofstream log(file, std::ios::app);
             log << text << std::flush;
             char bytes[16384];
             for (ssize_t size = 0; (size = read(fd, bytes, sizeof bytes)) > 0;) {
                 log.write(bytes, size);
                 log.flush();
+                while (*isPaused) {
+                    sleepMs(10);
+                }
             }
             close(fd);
         }).detach();
@@ -625,6 +629,12 @@
         return false;
     }
 
+    /** Stops and resumes the reader of what the gateway writes. */
+    void pauseLog(bool isPaused)
+    {
+        *isLogPaused_ = isPaused;
+    }
+
     void signal(int number) const
     {
         kill(pid_, number);
@@ -698,6 +708,7 @@
     std::string name_;
     std::string settings_;
     std::string log_;
+    std::shared_ptr<std::atomic<bool>> isLogPaused_ = std::make_shared<std::atomic<bool>>(false);
     int storePort_;
     std::string ip_;
     pid_t pid_ = -1;
