--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-program=review/bin-2/secondstop
+program=review/bin-2/deadlystream
 for file in "$program" target/src/chestnutcove; do
     [ -x "$file" ] || { echo "$file is missing: build it first" >&2; exit 2; }
 done
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -551,10 +551,16 @@
     }
 
     ~Gateway()
+    {
+        end();
+    }
+
+    void end()
     {
         if (pid_ > 0) {
             kill(pid_, SIGKILL);
             waitpid(pid_, nullptr, 0);
+            pid_ = -1;
         }
     }
 
@@ -784,6 +790,14 @@
     return {argv[1], argv[2]};
 }
 
+/** Ends the gateway and then the program, whose threads still use its objects. */
+[[noreturn]] inline void finish(Gateway &gateway, int code)
+{
+    gateway.end();
+    std::cout.flush();
+    std::_Exit(code);
+}
+
 inline bool hasTrouble()
 {
     const char *value = std::getenv("TROUBLE");
--- a/review/standins-2/lasttenant.cpp
+++ b/review/standins-2/lasttenant.cpp
@@ -89,14 +89,14 @@
     Gateway gateway("front-vn-south-a-1", folders.temporary, platform);
     if (!gateway.start() || !gateway.waitUntilReady(40)) {
         record.say("the gateway did not become ready");
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     sleepMs(500);
     const int served = countRuns(gateway, record, runs, "before-", "key-1", RequestsBefore);
     const int unknownBefore = countRuns(gateway, record, runs, "before-unknown-", "never-granted", RequestsBefore);
     if (served < RequestsBefore / 2) {
         record.say("the gateway does not serve: " + std::to_string(served) + " of " + std::to_string(RequestsBefore));
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     record.write(hasTrouble() ? "the operator takes the only tenant away" : "the operator writes the same tenant again");
     platform.put("op", "config", configuration(2, !hasTrouble()));
@@ -107,5 +107,5 @@
     record.say("before: " + std::to_string(served) + " ran with a key, " + std::to_string(unknownBefore)
                + " with one that was never granted; after: " + std::to_string(revoked) + " with a key that was taken away, "
                + std::to_string(unknown) + " with one that was never granted, " + std::to_string(keyless) + " without a key");
-    return unknownBefore + revoked + unknown + keyless > 0 ? Broken : Held;
+    finish(gateway, unknownBefore + revoked + unknown + keyless > 0 ? Broken : Held);
 }
--- a/review/standins-2/movedroute.cpp
+++ b/review/standins-2/movedroute.cpp
@@ -182,13 +182,13 @@
     Gateway gateway("front-vn-south-a-1", folders.temporary, platform);
     if (!gateway.start() || !gateway.waitUntilReady(40)) {
         record.say("the gateway did not become ready");
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     std::vector<Sent> sent = sendRequests(gateway, record, "before-", RequestsBefore);
     const auto served = std::count_if(sent.begin(), sent.end(), [](const Sent &each) { return each.status == 200; });
     if (served < RequestsBefore / 2) {
         record.say("the gateway does not serve: " + std::to_string(served) + " of " + std::to_string(RequestsBefore));
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     const bool isSplit = hasTrouble();
     record.write(isSplit ? "the operator splits the route: 90 to model, 10 to app" : "the operator writes the same routes again");
@@ -214,5 +214,5 @@
     }
     record.say(std::to_string(sent.size()) + " requests, " + std::to_string(unserved) + " without success, " + std::to_string(twice)
                + " ran more than once, " + std::to_string(refusedAndRun) + " were refused as not run and have run");
-    return twice > 0 || refusedAndRun > 0 ? Broken : Held;
+    finish(gateway, twice > 0 || refusedAndRun > 0 ? Broken : Held);
 }
--- a/review/standins-2/pausedlog.cpp
+++ b/review/standins-2/pausedlog.cpp
@@ -104,12 +104,12 @@
     Gateway gateway("front-vn-south-a-1", folders.temporary, platform);
     if (!gateway.start() || !gateway.waitUntilReady(40)) {
         record.say("the gateway did not become ready");
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     const int before = countUnanswered(gateway, record, "before-");
     if (before > 0) {
         record.say("the gateway does not serve: " + std::to_string(before) + " of " + std::to_string(OrdinaryRequests) + " unanswered");
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     int worst = 0;
     for (const std::size_t longBytes : LongIdBytes) {
@@ -130,5 +130,5 @@
     }
     record.say("ordinary requests without an answer half a second after the timeout: " + std::to_string(worst) + " of "
                + std::to_string(OrdinaryRequests) + " in the worst of " + std::to_string(LongIdBytes.size()) + " pauses");
-    return worst > OrdinaryRequests / 2 ? Broken : Held;
+    finish(gateway, worst > OrdinaryRequests / 2 ? Broken : Held);
 }
--- a/review/standins-2/secondstop.cpp
+++ b/review/standins-2/secondstop.cpp
@@ -115,7 +115,7 @@
     Gateway gateway("front-vn-south-a-1", folders.temporary, platform);
     if (!gateway.start() || !gateway.waitUntilReady(40)) {
         record.say("the gateway did not become ready");
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
     Results results;
     std::atomic<bool> mustEnd = false;
@@ -150,7 +150,7 @@
     record.say(std::to_string(results.answered.size()) + " requests answered, " + std::to_string(results.cut.size())
                + " cut without an answer, " + std::to_string(lost) + " of them after they had been passed on to a server");
     if (results.answered.size() < Clients) {
-        return CouldNotRun;
+        finish(gateway, CouldNotRun);
     }
-    return lost > 0 ? Broken : Held;
+    finish(gateway, lost > 0 ? Broken : Held);
 }
