--- a/review/standins-2/lasttenant.cpp
+++ b/review/standins-2/lasttenant.cpp
@@ -51,7 +51,8 @@
     const std::string tenant = request.field("Tenant");
     runs.add(attempt, id, tenant.empty() ? "for no tenant" : "for tenant " + tenant);
     sleepMs(WorkMs);
-    return sendAll(fd, response(200, {{"Attempt-Id", attempt}, {"Response-Stamp", "stamp." + attempt}, {"Server-Load", "1,0,6"}}, "placed"));
+    return sendAll(fd,
+                   response(200, {{"Attempt-Id", attempt}, {"Response-Stamp", "stamp." + attempt}, {"Server-Load", "1,0,6"}}, "placed"));
 }
 
 /** Sends requests with the key and counts those that ran. */
--- a/review/standins-2/pausedlog.cpp
+++ b/review/standins-2/pausedlog.cpp
@@ -119,8 +119,8 @@
             std::string attempt = "other-" + std::to_string(i) + '-';
             attempt.resize(hasTrouble() ? longBytes : ShortIdBytes, 'a');
             const Message answer = call(gateway.ip(), gateway.port(), requestText(attempt), 200);
-            record.write("another caller's request with an id of " + std::to_string(attempt.size()) + " bytes: "
-                         + (answer.isWhole ? std::to_string(answer.status()) : std::string("no answer yet")));
+            record.write("another caller's request with an id of " + std::to_string(attempt.size())
+                         + " bytes: " + (answer.isWhole ? std::to_string(answer.status()) : std::string("no answer yet")));
         }
         worst = std::max(worst, countUnanswered(gateway, record, "during-"));
         record.write(gateway.isReady() ? "the gateway says that it is ready" : "the gateway doesn't answer whether it is ready");
--- a/review/standins-2/secondstop.cpp
+++ b/review/standins-2/secondstop.cpp
@@ -47,7 +47,8 @@
     }
     runs.add(attempt, id);
     sleepMs(WorkMs);
-    return sendAll(fd, response(200, {{"Attempt-Id", attempt}, {"Response-Stamp", "stamp." + attempt}, {"Server-Load", "1,0,6"}}, "placed"));
+    return sendAll(fd,
+                   response(200, {{"Attempt-Id", attempt}, {"Response-Stamp", "stamp." + attempt}, {"Server-Load", "1,0,6"}}, "placed"));
 }
 
 /** What became of the requests of all clients. */
