Placement: only registered prefill engines of a model service get prefill calls

Cause: whether there is a prompt to prefill was decided from what the request states, not from its service, and an endpoint without a stage counted as one of any stage. A plain server runs what it is to prefill; its answer holds no handle, so the call was repeated, and prefill calls never count as runs. Ruled out: a configuration that changes while a request waits (a request keeps the one it was admitted with).

Change: what a request asks of engines is one optional member of PlacementQuery, set only for services of engines; only an endpoint that is registered as a prefill engine is sent a prefill call. A prefill call that is answered like a run (a whole success, or a signed one, without a handle) counts as an attempt that may have run.

--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -64,9 +64,10 @@
     }
     deadline_ = exchange_->arrivedAt() + maxWait;
     placementQuery_.dataCentre = context_.dataCentre;
-    placementQuery_.parts = request_.facts.promptParts;
-    placementQuery_.promptTokens = request_.facts.promptTokens.value_or(0);
-    placementQuery_.maxOutputTokens = request_.facts.maxOutputTokens;
+    if (request_.service->engine) {
+        placementQuery_.generation
+            = GenerationDemand{request_.facts.promptParts, request_.facts.promptTokens.value_or(0), request_.facts.maxOutputTokens};
+    }
     placementQuery_.targetLatency = request_.route->targetLatency;
     placementQuery_.rank = request_.rank;
 }
@@ -181,15 +182,16 @@
 
 void ForwardedRequest::recordPlacedWork(const Placement &placement)
 {
-    if (!request_.service->engine || std::exchange(isWorkRecorded_, true)) {
+    if (!placementQuery_.generation || std::exchange(isWorkRecorded_, true)) {
         return;
     }
+    const auto promptTokens = static_cast<double>(placementQuery_.generation->promptTokens);
     EngineWork work;
     if (placement.prefillEngine) {
         work.prefilledTokens = static_cast<double>(placement.uncachedTokens);
-        work.transferredTokens = static_cast<double>(placementQuery_.promptTokens);
+        work.transferredTokens = promptTokens;
     } else {
-        work.decodePrefilledTokens = static_cast<double>(placementQuery_.promptTokens);
+        work.decodePrefilledTokens = promptTokens;
     }
     context_.fleet.recordWork(request_.service->name, work);
 }
@@ -473,30 +475,37 @@
 
 void ForwardedRequest::onPrefillEnd(const OutgoingCall &call, AttemptOutcome outcome)
 {
-    if (outcome == AttemptOutcome::Succeeded) {
-        const auto handle = Platform::decodePrefillHandle(call.body);
-        if (handle.ok()) {
-            context_.metrics.distribution("prefill_seconds").add(toSeconds(suspendAwareNow() - call.startedAt));
-            context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
-            context_.speeds.onPrefilled(call, suspendAwareNow());
-            context_.placement.recordPrefill(call.endpoint.id, request_.facts.promptParts, call.promptWork.tokens);
-            heldPrompt_ = Platform::PrefilledPrompt{call.endpoint.address, *handle};
-            heldPromptEngine_ = call.endpoint;
-            heldPromptRuns_ = 0;
-            if (sendRunWithHeldPrompt()) {
-                return;
-            }
-            releaseHeldPrompt();
+    const auto handle = Platform::decodePrefillHandle(call.body);
+    const bool isHeld = outcome == AttemptOutcome::Succeeded && handle.ok();
+    if (isHeld) {
+        onPromptHeld(call, *handle);
+        if (sendRunWithHeldPrompt()) {
+            return;
         }
+        releaseHeldPrompt();
+    } else if (call.isAnswerOfRun(outcome)) {
+        context_.metrics.counter("prefill_calls_run_total").add();
+        attemptPolicy_.onPrefillRun();
     }
     placementQuery_.excluded.insert(call.endpoint.id);
-    if (prefillCalls_ < MaxPrefillCalls) {
+    if (prefillCalls_ < MaxPrefillCalls && attemptPolicy_.mayRunAgain()) {
         placeRequest();
         return;
     }
     endWithoutEndpointAnswer();
 }
 
+void ForwardedRequest::onPromptHeld(const OutgoingCall &call, const std::string &handle)
+{
+    context_.metrics.distribution("prefill_seconds").add(toSeconds(suspendAwareNow() - call.startedAt));
+    context_.metrics.counter(call.answer.load ? "prefill_answers_with_load_total" : "prefill_answers_without_load_total").add();
+    context_.speeds.onPrefilled(call, suspendAwareNow());
+    context_.placement.recordPrefill(call.endpoint.id, request_.facts.promptParts, call.promptWork.tokens);
+    heldPrompt_ = Platform::PrefilledPrompt{call.endpoint.address, handle};
+    heldPromptEngine_ = call.endpoint;
+    heldPromptRuns_ = 0;
+}
+
 void ForwardedRequest::onRunEnd(OutgoingCall call, AttemptOutcome outcome)
 {
     answerFraming_ = call.framing;
--- a/src/chestnutcove/forwardedrequest.h
+++ b/src/chestnutcove/forwardedrequest.h
@@ -82,6 +82,8 @@
     /** Ends the call in progress: records its outcome and returns its connection to the pool. */
     OutgoingCall endCall(AttemptOutcome outcome);
     void onPrefillEnd(const OutgoingCall &call, AttemptOutcome outcome);
+    /** The engine holds the prompt's KV cache under @p handle. */
+    void onPromptHeld(const OutgoingCall &call, const std::string &handle);
     void onRunEnd(OutgoingCall call, AttemptOutcome outcome);
     /** Tells the crash reporter how the run of the prompt ended, and the speed observer how long a successful one took. */
     void reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome);
--- a/src/chestnutcove/outgoingcall.cpp
+++ b/src/chestnutcove/outgoingcall.cpp
@@ -21,6 +21,13 @@
     return head && Chestnutcove::isSuccessStatus(head->status);
 }
 
+bool OutgoingCall::isAnswerOfRun(AttemptOutcome outcome) const
+{
+    // Engines answer prefill calls without a signature; a whole answer that is neither signed nor holds a handle tells nothing else.
+    const bool isWhole = outcome == AttemptOutcome::Succeeded;
+    return isSuccess() && !answer.notRun && (isWhole || answer.isSigned);
+}
+
 AttemptOutcome OutgoingCall::outcomeOf(CallOutcome end) const
 {
     if (end == CallOutcome::NoResponse && !isGivenUp) {
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -43,6 +43,8 @@
 
     /** Whether the answer's head has arrived and reports success. */
     bool isSuccess() const;
+    /** Whether a prefill call that yielded no handle was answered as an endpoint does that runs the request. */
+    bool isAnswerOfRun(AttemptOutcome outcome) const;
     /** The outcome of the attempt, given how the call ended. */
     AttemptOutcome outcomeOf(CallOutcome end) const;
 };
--- a/src/libserving/attemptpolicy.cpp
+++ b/src/libserving/attemptpolicy.cpp
@@ -14,6 +14,12 @@
     inProgress_ = true;
 }
 
+void AttemptPolicy::onPrefillRun()
+{
+    ++attempts_;
+    mayHaveRun_ = true;
+}
+
 bool AttemptPolicy::mayRetry(AttemptOutcome outcome) const
 {
     if (attempts_ >= maxAttempts_) {
--- a/src/libserving/attemptpolicy.h
+++ b/src/libserving/attemptpolicy.h
@@ -1,6 +1,7 @@
 /**
  * Decides what follows an attempt at an endpoint: a retry, relaying the endpoint's response, or an error response of the gateway. The
- * response "not run" is given only if no endpoint has run any part of the request and none will.
+ * response "not run" is given only if no endpoint has run any part of the request and none will. Engines don't run what they prefill, so a
+ * prefill call counts as no attempt, unless its answer shows that the endpoint did something else.
  */
 #pragma once
 
@@ -53,6 +54,10 @@
     /** @param budgetAllows whether a retry fits into the retry budget; called only if a retry would be made. */
     template<typename BudgetCheck>
     NextStep onAttemptEnded(AttemptOutcome outcome, BudgetCheck budgetAllows);
+    /** An endpoint answered a prefill call as one that runs the request does. It counts as an attempt that may have run. */
+    void onPrefillRun();
+    /** Whether the request may be sent to an endpoint again. */
+    bool mayRunAgain() const;
     /** The response if no further attempt is made, for example because the deadline has passed. */
     NextStep stepWithoutRetry() const;
     /** Whether some endpoint has run the request, or may have. */
@@ -93,6 +98,11 @@
     return mayRetry(outcome) && budgetAllows() ? NextStep::Retry : finalStep(outcome);
 }
 
+inline bool AttemptPolicy::mayRunAgain() const
+{
+    return !mayHaveRun() || (mayRepeat_ && attempts_ < maxAttempts_);
+}
+
 inline bool AttemptPolicy::mayHaveRun() const
 {
     return mayHaveRun_ || inProgress_;
--- a/src/libserving/placement.cpp
+++ b/src/libserving/placement.cpp
@@ -18,6 +18,17 @@
     return parts.size() > 1 ? parts[parts.size() - 2].id : parts.front().id;
 }
 
+/** An endpoint without a stage may be no engine: it would run the request. */
+bool mayPrefill(const EndpointRecord &endpoint)
+{
+    return endpoint.stage == EngineStage::Prefill;
+}
+
+bool mayRun(const EndpointRecord &endpoint)
+{
+    return endpoint.stage != EngineStage::Prefill;
+}
+
 }
 
 PlacementPolicy::PlacementPolicy(PlacementOptions options, const EndpointLoads &loads, const EndpointSpeeds &speeds)
@@ -30,10 +41,11 @@
 Placement PlacementPolicy::place(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
     Placement placement;
-    const bool isLongPrompt = !query.parts.empty() && query.promptTokens >= options_.minDisaggregatedTokens;
+    const auto &generation = query.generation;
+    const bool isLongPrompt = generation && !generation->promptParts.empty() && generation->promptTokens >= options_.minDisaggregatedTokens;
     // A prefilled prompt is of no use without an engine that decodes the answer.
     if (isLongPrompt && chooseRunEndpoint(query, endpoints, now)) {
-        placement = placePrompt(query, endpoints, now);
+        placement = placePrompt(query, *generation, endpoints, now);
     }
     if (placement.result == Placement::Result::NoEndpoint) {
         placement.runEndpoint = chooseRunEndpoint(query, endpoints, now);
@@ -49,7 +61,7 @@
 
 bool PlacementPolicy::hasShortAnswer(const PlacementQuery &query) const
 {
-    return query.maxOutputTokens <= options_.shortAnswerTokens;
+    return !query.generation || query.generation->maxOutputTokens <= options_.shortAnswerTokens;
 }
 
 bool PlacementPolicy::hasDecodeCapacity(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
@@ -63,20 +75,22 @@
 }
 
 template<typename Wait>
-Placement
-PlacementPolicy::fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, TimePoint now, Wait waitOf) const
+Placement PlacementPolicy::fastestPrefill(const GenerationDemand &generation,
+                                          const std::vector<EndpointRecord> &engines,
+                                          TimePoint now,
+                                          Wait waitOf) const
 {
     std::vector<std::string> ids;
     ids.reserve(engines.size());
     for (const auto &engine : engines) {
         ids.push_back(engine.id);
     }
-    const auto order = rendezvous(sessionPartId(query.parts), ids, ids.size());
+    const auto order = rendezvous(sessionPartId(generation.promptParts), ids, ids.size());
     Placement best;
     Duration bestTime = Duration::max();
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto &each) { return each.id == order[rank]; });
-        const std::uint64_t tokens = countUncachedTokens(query, engine->id, rank == 0);
+        const std::uint64_t tokens = countUncachedTokens(generation, engine->id, rank == 0);
         const Duration wait = waitOf(*engine);
         const Duration prefill = prefillTime(*engine, static_cast<double>(tokens), now);
         const Duration time = wait + prefill + options_.rankPenalty * static_cast<int>(rank);
@@ -90,19 +104,22 @@
     return best;
 }
 
-Placement PlacementPolicy::placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
+Placement PlacementPolicy::placePrompt(const PlacementQuery &query,
+                                       const GenerationDemand &generation,
+                                       const std::vector<EndpointRecord> &endpoints,
+                                       TimePoint now) const
 {
-    const auto engines = candidates(query, endpoints, EngineStage::Prefill, now);
+    const auto engines = candidates(query, endpoints, mayPrefill, now);
     if (engines.empty()) {
         return {};
     }
-    Placement timely = fastestPrefill(query, engines, now, [&](const EndpointRecord &engine) { return timelyWait(engine, now); });
+    Placement timely = fastestPrefill(generation, engines, now, [&](const EndpointRecord &engine) { return timelyWait(engine, now); });
     timely.result = Placement::Result::Placed;
     timely.expectedWait = std::max(timely.expectedWait, loads_.oldestTimelyPromptAge(timely.prefillEngine->id, now));
     if (toSeconds(timely.expectedWait) <= toSeconds(query.targetLatency) * options_.timelyWaitFraction) {
         return timely;
     }
-    Placement late = fastestPrefill(query, engines, now, [&](const EndpointRecord &engine) { return expectedWait(engine, now); });
+    Placement late = fastestPrefill(generation, engines, now, [&](const EndpointRecord &engine) { return expectedWait(engine, now); });
     late.isLate = true;
     late.expectedWait = std::max(late.expectedWait, loads_.oldestPromptAge(late.prefillEngine->id, now));
     const bool tooLate = toSeconds(late.expectedWait) > toSeconds(query.maxWait) * options_.refusalWaitFraction;
@@ -113,7 +130,7 @@
 std::optional<EndpointRecord>
 PlacementPolicy::chooseRunEndpoint(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const
 {
-    auto engines = candidates(query, endpoints, EngineStage::Decode, now);
+    auto engines = candidates(query, endpoints, mayRun, now);
     std::optional<EndpointRecord> best;
     double bestUtilisation = std::numeric_limits<double>::max();
     for (const auto &engine : engines) {
@@ -126,16 +143,14 @@
     return best;
 }
 
-std::vector<EndpointRecord> PlacementPolicy::candidates(const PlacementQuery &query,
-                                                        const std::vector<EndpointRecord> &endpoints,
-                                                        std::optional<EngineStage> stage,
-                                                        TimePoint now) const
+template<typename Fitness>
+std::vector<EndpointRecord>
+PlacementPolicy::candidates(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, Fitness isFit, TimePoint now) const
 {
     std::vector<EndpointRecord> preferred;
     std::vector<EndpointRecord> avoided;
     for (const auto &endpoint : endpoints) {
-        const bool hasStage = !endpoint.stage || endpoint.stage == stage;
-        if (!hasStage || query.excluded.contains(endpoint.id)) {
+        if (!isFit(endpoint) || query.excluded.contains(endpoint.id)) {
             continue;
         }
         (loads_.isAvoided(endpoint.id, now) ? avoided : preferred).push_back(endpoint);
@@ -143,19 +158,21 @@
     return preferred.empty() ? avoided : preferred;
 }
 
-std::uint64_t PlacementPolicy::countUncachedTokens(const PlacementQuery &query, const std::string &endpoint, bool assumeSessionCached) const
+std::uint64_t
+PlacementPolicy::countUncachedTokens(const GenerationDemand &generation, const std::string &endpoint, bool assumeSessionCached) const
 {
+    const auto &parts = generation.promptParts;
     std::uint64_t cached = 0;
     std::uint64_t total = 0;
     bool prefixCached = true;
-    for (std::size_t i = 0; i < query.parts.size(); ++i) {
-        const bool shared = i + 1 < query.parts.size();
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const bool shared = i + 1 < parts.size();
         // A cached part is usable only if all parts before it are cached too.
-        prefixCached = prefixCached && shared && (assumeSessionCached || isTracked(endpoint, query.parts[i].id));
-        cached += prefixCached ? query.parts[i].tokens : 0;
-        total += query.parts[i].tokens;
+        prefixCached = prefixCached && shared && (assumeSessionCached || isTracked(endpoint, parts[i].id));
+        cached += prefixCached ? parts[i].tokens : 0;
+        total += parts[i].tokens;
     }
-    return std::max(total, query.promptTokens) - cached;
+    return std::max(total, generation.promptTokens) - cached;
 }
 
 bool PlacementPolicy::isTracked(const std::string &endpoint, const std::string &part) const
--- a/src/libserving/placement.h
+++ b/src/libserving/placement.h
@@ -2,8 +2,9 @@
  * Chooses the endpoints of a request. A long prompt goes to the prefill engine that probably has its session in the KV cache (rendezvous
  * hashing, corrected by the prompts that this gateway sent to each engine), unless another engine would finish the prefill sooner; then a
  * decode engine generates. A request with a short prompt is run by a decode engine alone, and a request for a service without engines by
- * its least loaded endpoint. At decode engines, short answers have priority over long ones, since they occupy a slot only briefly; a long
- * answer is refused while it would have to wait for a slot at every decode engine.
+ * its least loaded endpoint: an endpoint that isn't registered as a prefill engine would run what it is to prefill. At decode engines,
+ * short answers have priority over long ones, since they occupy a slot only briefly; a long answer is refused while it would have to wait
+ * for a slot at every decode engine.
  */
 #pragma once
 
@@ -48,12 +49,19 @@
     std::size_t maxTrackedParts = 4096;
 };
 
-struct PlacementQuery
+/** What a request asks of model engines. */
+struct GenerationDemand
 {
-    std::string dataCentre;
-    std::vector<PromptPart> parts;
+    std::vector<PromptPart> promptParts;
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
+};
+
+struct PlacementQuery
+{
+    std::string dataCentre;
+    /** Set only if the request's service is one of model engines, whatever the request states. Without it nothing is prefilled. */
+    std::optional<GenerationDemand> generation;
     Duration targetLatency{};
     /** Time that the caller still waits for its answer. */
     Duration maxWait{};
@@ -117,9 +125,12 @@
     /** Whether the decode engine that would run the request has capacity for its answer. */
     bool hasDecodeCapacity(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
     bool hasShortAnswer(const PlacementQuery &query) const;
-    Placement placePrompt(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, TimePoint now) const;
+    Placement placePrompt(const PlacementQuery &query,
+                          const GenerationDemand &generation,
+                          const std::vector<EndpointRecord> &endpoints,
+                          TimePoint now) const;
     /** @param assumeSessionCached treat the shared parts of the prompt as cached even if this gateway did not send them there. */
-    std::uint64_t countUncachedTokens(const PlacementQuery &query, const std::string &endpoint, bool assumeSessionCached) const;
+    std::uint64_t countUncachedTokens(const GenerationDemand &generation, const std::string &endpoint, bool assumeSessionCached) const;
     bool isTracked(const std::string &endpoint, const std::string &part) const;
     /** Time until the engine has prefilled all prompts in flight, and until it has prefilled the timely ones. */
     Duration expectedWait(const EndpointRecord &endpoint, TimePoint now) const;
@@ -128,18 +139,18 @@
     Duration prefillTime(const EndpointRecord &endpoint, double tokens, TimePoint now) const;
     /** The engine that would finish the prefill first if the prompt waited for as long as @p waitOf returns for each engine. */
     template<typename Wait>
-    Placement fastestPrefill(const PlacementQuery &query, const std::vector<EndpointRecord> &engines, TimePoint now, Wait waitOf) const;
+    Placement
+    fastestPrefill(const GenerationDemand &generation, const std::vector<EndpointRecord> &engines, TimePoint now, Wait waitOf) const;
     double utilisation(const EndpointRecord &endpoint, const std::string &dataCentre, TimePoint now) const;
     /**
      * Utilisation that is added for an endpoint that takes longer than its service's usual one, or subtracted for a faster one; 0 if
      * nothing is known. The request to place counts too, so that speeds matter also at idle endpoints.
      */
     double slownessPenalty(const EndpointRecord &endpoint, double requests, TimePoint now) const;
-    /** The endpoints for @p stage that were not tried yet; those that are avoided are returned only if there are no others. */
-    std::vector<EndpointRecord> candidates(const PlacementQuery &query,
-                                           const std::vector<EndpointRecord> &endpoints,
-                                           std::optional<EngineStage> stage,
-                                           TimePoint now) const;
+    /** The endpoints that @p isFit accepts and that were not tried yet; those that are avoided only if there are no others. */
+    template<typename Fitness>
+    std::vector<EndpointRecord>
+    candidates(const PlacementQuery &query, const std::vector<EndpointRecord> &endpoints, Fitness isFit, TimePoint now) const;
 
     PlacementOptions options_;
     const EndpointLoads &loads_;
--- a/tests/serving/attemptpolicy_test.cpp
+++ b/tests/serving/attemptpolicy_test.cpp
@@ -74,6 +74,25 @@
     EXPECT_EQ(policy.onAttemptEnded(AttemptOutcome::NotSent, allowRetry), NextStep::RefuseNotRun);
 }
 
+// Guards against "not run", and a second run, after a prefill call that ran the request.
+TEST(AttemptPolicy, NonIdempotentRequest_PrefillCallRanIt_IsNotSentAgainAndOutcomeIsReportedUnknown)
+{
+    AttemptPolicy policy(false, 3);
+    EXPECT_TRUE(policy.mayRunAgain());
+    policy.onPrefillRun();
+    EXPECT_FALSE(policy.mayRunAgain());
+    EXPECT_EQ(policy.stepWithoutRetry(), NextStep::ReportUnknownOutcome);
+}
+
+TEST(AttemptPolicy, IdempotentRequest_PrefillCallRanIt_CountsAsOneAttempt)
+{
+    AttemptPolicy policy(true, 2);
+    policy.onPrefillRun();
+    EXPECT_TRUE(policy.mayRunAgain());
+    policy.onPrefillRun();
+    EXPECT_FALSE(policy.mayRunAgain());
+}
+
 /** Property: after an attempt that may have run, a non-idempotent request is never retried and no request is reported as not run. */
 RC_GTEST_PROP(AttemptPolicy, AnyOutcomes_NonIdempotent_RunsOnceAndNotRunIsTrue, (std::vector<int> outcomes, bool mayRepeat))
 {
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -32,9 +32,7 @@
     {
         PlacementQuery query;
         query.dataCentre = "dc-0";
-        query.parts = {{"system", 2520}, {session, 3780}, {lastPart, 2890}};
-        query.promptTokens = 9190;
-        query.maxOutputTokens = 2;
+        query.generation = GenerationDemand{{{"system", 2520}, {session, 3780}, {lastPart, 2890}}, 9190, 2};
         query.targetLatency = 150ms;
         query.maxWait = 2s;
         return query;
@@ -52,6 +50,27 @@
     TimePoint now_{100s};
 };
 
+// Guards against prefill calls to endpoints that would run them: those of a plain service, whatever the request states.
+TEST_F(PlacementTest, EndpointsWithoutStage_LongPrompt_IsNeverPrefilled)
+{
+    addEngines(3, std::nullopt);
+    const auto placement = place(longPrompt("s1"));
+    EXPECT_EQ(placement.result, Placement::Result::Placed);
+    EXPECT_FALSE(placement.prefillEngine.has_value());
+    EXPECT_TRUE(placement.runEndpoint.has_value());
+}
+
+TEST_F(PlacementTest, ServiceWithoutEngines_ItsEndpointsHaveStages_NothingIsPrefilled)
+{
+    addEngines(2, EngineStage::Prefill);
+    addEngines(1, EngineStage::Decode);
+    PlacementQuery query = longPrompt("s1");
+    query.generation.reset();
+    const auto placement = place(query);
+    EXPECT_FALSE(placement.prefillEngine.has_value());
+    EXPECT_EQ(placement.runEndpoint->stage, EngineStage::Decode);
+}
+
 // Guards against prompts that are prefilled for nothing while no engine can decode their answers.
 TEST_F(PlacementTest, NoDecodeEngineCanTakeIt_LongPrompt_IsNotPrefilled)
 {
@@ -177,8 +196,7 @@
     addEngines(6, EngineStage::Prefill);
     addEngines(3, EngineStage::Decode);
     PlacementQuery query = longPrompt("s1");
-    query.parts = {{"system", 50}, {"s1", 30}, {"own", 140}};
-    query.promptTokens = 220;
+    query.generation = GenerationDemand{{{"system", 50}, {"s1", 30}, {"own", 140}}, 220, 2};
     const auto placement = place(query);
     EXPECT_FALSE(placement.prefillEngine.has_value());
     ASSERT_TRUE(placement.runEndpoint.has_value());
@@ -195,9 +213,7 @@
         }
     }
     PlacementQuery query = longPrompt("s1");
-    query.parts = {{"s1", 80}, {"own", 140}};
-    query.promptTokens = 220;
-    query.maxOutputTokens = 90;
+    query.generation = GenerationDemand{{{"s1", 80}, {"own", 140}}, 220, 90};
     EXPECT_EQ(place(query).result, Placement::Result::Overloaded);
     const auto prompt = place(longPrompt("s1"));
     EXPECT_EQ(prompt.result, Placement::Result::Placed);
--- a/tests/serving/unevenplacement_test.cpp
+++ b/tests/serving/unevenplacement_test.cpp
@@ -52,9 +52,7 @@
     {
         PlacementQuery query;
         query.dataCentre = "dc-0";
-        query.parts = {{"prompt-" + std::to_string(number), PromptTokens}};
-        query.promptTokens = PromptTokens;
-        query.maxOutputTokens = 2;
+        query.generation = GenerationDemand{{{"prompt-" + std::to_string(number), PromptTokens}}, PromptTokens, 2};
         query.targetLatency = 150ms;
         query.maxWait = 2s;
         return query;
