Crash evidence: a run that breaks off in the middle of its answer counts as well

Cause: a broken run was reported only if nothing of its answer had been sent on to the caller, and the first event is sent on at once. An answer without a length that is cut between two events even cleared the part. Ruled out: the check of the engine finds it alive (there was none).

Change: every run that breaks off is checked. A refused connection alone counts as a crash (silence is a cut as well), the end of an engine that drains or has left is planned, and an answer that ends with its connection is whole only if the engine doesn't refuse connections after it.

--- a/src/chestnutcove/crashreporter.cpp
+++ b/src/chestnutcove/crashreporter.cpp
@@ -43,6 +43,16 @@
 }
 
 void CrashReporter::onRunBroken(const EndpointRecord &endpoint, const RequestContent &content, TimePoint sentAt)
+{
+    checkEndpoint(endpoint, {content, sentAt, false});
+}
+
+void CrashReporter::onConnectionEnded(const EndpointRecord &endpoint, const RequestContent &content, TimePoint sentAt)
+{
+    checkEndpoint(endpoint, {content, sentAt, true});
+}
+
+void CrashReporter::checkEndpoint(const EndpointRecord &endpoint, EndedRun ended)
 {
     const std::string run = endpoint.id + '/' + std::to_string(endpoint.startedAt);
     const auto [it, isNew] = confirmations_.try_emplace(run);
@@ -55,7 +65,7 @@
             }
         });
     }
-    it->second->runs.push_back({content, sentAt});
+    it->second->runs.push_back(std::move(ended));
 }
 
 void CrashReporter::confirmCrash(const std::string &run)
@@ -65,7 +75,8 @@
         if (connection.ok()) {
             pool_.release(endpoint, *connection);
         }
-        onConfirmed(run, !connection.ok());
+        // Silence tells nothing: a cut between the gateway and the endpoint looks the same.
+        onConfirmed(run, absl::IsUnavailable(connection.status()));
     });
 }
 
@@ -74,16 +85,21 @@
     const auto confirmation = std::move(confirmations_.extract(run).mapped());
     log_.info("endpoint checked after a broken run",
               {{"endpoint", confirmation->endpoint.id},
-               {"outcome", hasCrashed ? "ended" : "accepts connections"},
+               {"outcome", hasCrashed ? "refuses connections" : "not known to have ended"},
                {"runs", std::to_string(confirmation->runs.size())}});
     if (!hasCrashed) {
+        for (const EndedRun &ended : confirmation->runs) {
+            if (ended.mayBeAnswered) {
+                onRunAnswered(ended.content);
+            }
+        }
         return;
     }
     const TimePoint now = suspendAwareNow();
-    for (const BrokenRun &broken : confirmation->runs) {
-        const RequestContent &content = broken.content;
-        promptParts_.evidence().onCrashed(run, content.service, content.promptParts, broken.sentAt, now);
-        requests_.evidence().onCrashed(run, content.service, wholeRequest(content), broken.sentAt, now);
+    for (const EndedRun &ended : confirmation->runs) {
+        const RequestContent &content = ended.content;
+        promptParts_.evidence().onCrashed(run, content.service, content.promptParts, ended.sentAt, now);
+        requests_.evidence().onCrashed(run, content.service, wholeRequest(content), ended.sentAt, now);
     }
     promptParts_.logBlocked();
     requests_.logBlocked();
--- a/src/chestnutcove/crashreporter.h
+++ b/src/chestnutcove/crashreporter.h
@@ -43,8 +43,11 @@
                   Metrics &metrics,
                   const Log &log);
 
-    /** A run ended without an answer, or with one that had not begun. @param sentAt when the call was started. */
+    /** A run broke off, whatever had arrived of its answer. @param sentAt when the call was started. */
     void onRunBroken(const EndpointRecord &endpoint, const RequestContent &content, TimePoint sentAt);
+    /** The answer ended with its connection, so that nothing but the endpoint's life tells whether it is whole. */
+    void onConnectionEnded(const EndpointRecord &endpoint, const RequestContent &content, TimePoint sentAt);
+    /** The answer is whole, or has gone on for long enough. */
     void onRunAnswered(const RequestContent &content);
     /** The endpoint answered with a failure: it has run the request and goes on. */
     void onRunFailed(const RequestContent &content);
@@ -61,18 +64,23 @@
     void tick(TimePoint now);
 
 private:
-    struct BrokenRun
+    /** A run whose connection has ended. */
+    struct EndedRun
     {
         RequestContent content;
         TimePoint sentAt;
+        /** It was answered if its endpoint lives. */
+        bool mayBeAnswered = false;
     };
     struct Confirmation
     {
         EndpointRecord endpoint;
-        std::vector<BrokenRun> runs;
+        std::vector<EndedRun> runs;
         asio::steady_timer timer;
     };
 
+    /** Finds out whether the endpoint has ended with the run. */
+    void checkEndpoint(const EndpointRecord &endpoint, EndedRun run);
     void confirmCrash(const std::string &run);
     void onConfirmed(const std::string &run, bool hasCrashed);
 
--- a/src/chestnutcove/forwardedrequest.cpp
+++ b/src/chestnutcove/forwardedrequest.cpp
@@ -349,6 +349,9 @@
         return;
     }
     call_->body.append(bytes);
+    if (mayForwardBody() && call_->progress.onPiece(suspendAwareNow())) {
+        context_.fleet.crashReporter().onRunAnswered(request_.content);
+    }
     const bool isPiecewise = call_->isEventStream || exchange_->hasBegun() || call_->body.size() > MaxBufferedAnswerBytes;
     if (isPiecewise && mayForwardBody()) {
         forwardBody();
@@ -540,12 +543,17 @@
 void ForwardedRequest::reportRunEnd(const OutgoingCall &call, AttemptOutcome outcome)
 {
     CrashReporter &reporter = context_.fleet.crashReporter();
+    const bool mayHaveCrashed = !call.isGivenUp && !context_.directory.isLeaving(call.endpoint);
     if (outcome == AttemptOutcome::Succeeded) {
         context_.speeds.onRunAnswered(call, request_.route->name, request_.facts.maxOutputTokens, suspendAwareNow());
+    }
+    if (outcome == AttemptOutcome::Succeeded && call.framing == BodyFraming::Connection && mayHaveCrashed) {
+        reporter.onConnectionEnded(call.endpoint, request_.content, call.startedAt);
+    } else if (outcome == AttemptOutcome::Succeeded) {
         reporter.onRunAnswered(request_.content);
     } else if (outcome == AttemptOutcome::Failed) {
         reporter.onRunFailed(request_.content);
-    } else if (isBrokenOff(outcome) && !call.isGivenUp && !exchange_->hasBegun()) {
+    } else if (isBrokenOff(outcome) && mayHaveCrashed) {
         reporter.onRunBroken(call.endpoint, request_.content, call.startedAt);
     }
 }
--- a/src/chestnutcove/outgoingcall.h
+++ b/src/chestnutcove/outgoingcall.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "answerprogress.h"
 #include "attemptpolicy.h"
 #include "endpointconnection.h"
 #include "endpointloads.h"
@@ -36,6 +37,7 @@
     std::string body;
     /** Leading bytes of the body that contain no end of an event. */
     std::size_t searchedBytes = 0;
+    AnswerProgress progress;
     /** The answer is forwarded event by event. */
     bool isEventStream = false;
     /** The gateway has dropped the bytes of the answer, which were too many, and breaks the call off. */
--- a/src/libproxy/endpointpool.cpp
+++ b/src/libproxy/endpointpool.cpp
@@ -10,6 +10,18 @@
 
 namespace Chestnutcove {
 
+namespace {
+
+absl::Status connectError(const std::error_code &error)
+{
+    if (error == asio::error::connection_refused) {
+        return absl::UnavailableError("the endpoint refuses connections");
+    }
+    return absl::DeadlineExceededError("no connection to the endpoint: " + error.message());
+}
+
+}
+
 /** State that the connections' handlers share with the pool, so that it outlives the pool while such a handler exists. */
 struct EndpointPool::SharedState
 {
@@ -110,7 +122,7 @@
             attempt->timer.cancel();
             if (error || !attempt->socket.is_open()) {
                 shared->onConnectionClosed(key, nullptr);
-                onConnection(absl::UnavailableError("no connection to the endpoint: " + error.message()));
+                onConnection(connectError(error));
                 return;
             }
             auto socket = std::make_shared<BufferedSocket>(std::move(attempt->socket), ackTimeout);
--- a/src/libproxy/endpointpool.h
+++ b/src/libproxy/endpointpool.h
@@ -34,8 +34,9 @@
 {
 public:
     /**
-     * Unavailable: no connection could be made, so nothing was sent. ResourceExhausted: the limit of connections to the endpoint is
-     * reached.
+     * No connection, so nothing was sent. Unavailable: the endpoint's address refuses connections, so no process listens there.
+     * DeadlineExceeded: nobody answered in time, or none could be made for another reason. ResourceExhausted: the limit of connections to
+     * the endpoint is reached.
      */
     using ConnectionHandler = std::function<void(absl::StatusOr<std::shared_ptr<EndpointConnection>>)>;
 
--- a/src/libserving/crashevidence.h
+++ b/src/libserving/crashevidence.h
@@ -3,7 +3,7 @@
  * is treated as a part that only its repeats share.
  *
  * The last part of a prompt belongs to its request alone; the others are shared. When an endpoint crashes, the shared parts of requests
- * that it had not begun to answer are suspected. Sound parts are cleared by completed answers, so the part that stays suspected over
+ * that it had not answered, or not for long, are suspected. Sound parts are cleared by answers, so the part that stays suspected over
  * several crashes is the one that causes them. Crashes at the same time are one round. After one round a part is blocked but for single
  * requests at one gateway, since many endpoints may have failed at once for another reason. A further round, the crash of a request that
  * was sent when the first was known, proves the part guilty. A request with several suspected parts proves nothing.
@@ -84,9 +84,9 @@
 
     /** Whether a shared part of the prompt was in a request under which an endpoint crashed, and in none that was answered. */
     bool isSuspected(const std::string &service, const std::vector<PromptPart> &parts) const;
-    /** An answer to the prompt was completed. */
+    /** An answer to the prompt was completed, or has come far enough (AnswerProgress). */
     void onAnswered(const std::string &service, const std::vector<PromptPart> &parts, TimePoint now);
-    /** A run of an endpoint crashed before it began to answer the prompt, which was sent at @p sentAt. */
+    /** A run of an endpoint crashed before it had answered the prompt, which was sent at @p sentAt. */
     void
     onCrashed(const std::string &run, const std::string &service, const std::vector<PromptPart> &parts, TimePoint sentAt, TimePoint now);
     /** Merges the report of another gateway. */
--- a/src/libserving/endpointdirectory.cpp
+++ b/src/libserving/endpointdirectory.cpp
@@ -82,6 +82,12 @@
     return it != entries_.end() && it->second.record.isSameRun(record) ? &it->second : nullptr;
 }
 
+const EndpointDirectory::Entry *EndpointDirectory::findRun(const EndpointRecord &record) const
+{
+    const auto it = entries_.find(record.id);
+    return it != entries_.end() && it->second.record.isSameRun(record) ? &it->second : nullptr;
+}
+
 void EndpointDirectory::onLeaving(const EndpointRecord &record)
 {
     if (Entry *entry = findRun(record)) {
@@ -213,8 +219,17 @@
 
 bool EndpointDirectory::isUsable(const EndpointRecord &record, TimePoint now) const
 {
-    const auto it = entries_.find(record.id);
-    return it != entries_.end() && it->second.record.isSameRun(record) && isInService(it->second) && now >= it->second.closedUntil;
+    const Entry *entry = findRun(record);
+    return entry != nullptr && isInService(*entry) && now >= entry->closedUntil;
+}
+
+bool EndpointDirectory::isLeaving(const EndpointRecord &record) const
+{
+    if (const Entry *entry = findRun(record)) {
+        return entry->isDraining();
+    }
+    // Under the id of a run that crashed, the next one may be registered already.
+    return !entries_.contains(record.id);
 }
 
 std::vector<EndpointRecord> EndpointDirectory::allEndpoints() const
--- a/src/libserving/endpointdirectory.h
+++ b/src/libserving/endpointdirectory.h
@@ -60,6 +60,8 @@
     std::vector<EndpointRecord> nonDrainingEndpoints(const std::string &service) const;
     /** Whether this run of the endpoint is still registered, is not evacuated and accepts new requests, whatever its stage. */
     bool isUsable(const EndpointRecord &record, TimePoint now) const;
+    /** Whether this run of the endpoint is draining or has left, so that its end was planned. */
+    bool isLeaving(const EndpointRecord &record) const;
     std::vector<EndpointRecord> allEndpoints() const;
 
 private:
@@ -85,6 +87,7 @@
     Duration unseenOutageRetention() const;
     /** The entry of this run of the endpoint, or null. */
     Entry *findRun(const EndpointRecord &record);
+    const Entry *findRun(const EndpointRecord &record) const;
     void remove(std::map<std::string, Entry>::iterator entry, TimePoint now);
     /** Whether the entry is one that an older copy of the store has brought back. */
     bool isBroughtBack(const EndpointRecord &record, TimePoint now) const;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -226,6 +226,26 @@
     EXPECT_TRUE(absl::IsUnavailable(status));
 }
 
+// Guards against an endpoint that counts as ended because nobody answers: a cut between it and the gateway looks the same.
+TEST_F(EndpointCallsTest, NobodyAnswersTheConnection_Call_IsNotSentAndTheAddressDoesNotCountAsRefusing)
+{
+    asio::ip::tcp::acceptor full(context_, asio::ip::tcp::v4());
+    full.bind({asio::ip::address_v4::loopback(), 0});
+    full.listen(0);
+    std::vector<asio::ip::tcp::socket> waiting;
+    for (int i = 0; i < 4; ++i) {
+        waiting.emplace_back(context_).async_connect(full.local_endpoint(), [](const std::error_code &) {});
+    }
+    context_.run_for(50ms);
+    EndpointRecord record;
+    record.id = "silent";
+    record.address = {"127.0.0.1", full.local_endpoint().port()};
+    absl::Status status;
+    pool_.acquire(record, 0, [&status](const auto &connection) { status = connection.status(); });
+    context_.run_for(600ms);
+    EXPECT_TRUE(absl::IsDeadlineExceeded(status)) << status;
+}
+
 TEST_F(EndpointCallsTest, ConnectionLimitReached_FurtherCall_IsRefusedImmediately)
 {
     absl::Status status;
--- a/tests/serving/crashfleet_test.cpp
+++ b/tests/serving/crashfleet_test.cpp
@@ -3,6 +3,7 @@
  * beside ordinary crashes, killed gateways and frequent and rare parts. Few of the requests may reach engines once the gateways have had
  * time to tell each other of five crashes, and no part that was answered may stay blocked.
  */
+#include "answerprogress.h"
 #include "crashevidence.h"
 
 #include <gtest/gtest.h>
@@ -21,7 +22,6 @@
 constexpr const char *Service = "model";
 constexpr const char *DeadlyPart = "deadly";
 constexpr Duration StepTime = 50ms;
-constexpr Duration AnswerTime = 100ms;
 constexpr Duration EngineRestartTime = 3s;
 /** Time after the fifth crash within which all gateways must know the part. */
 constexpr Duration ReportBound = 3s;
@@ -30,6 +30,8 @@
 /** Within this time the gateways that saw a part answered end its block, also if a write fails. */
 constexpr Duration ClearBound = 1s;
 constexpr Duration ReportDelay = 400ms;
+/** Fraction of the sound requests that may be refused: that of the sessions which may go unserved (Starved). */
+constexpr double MaxRefusedSound = 0.06;
 
 /** Faults injected to check that the oracle detects them. */
 enum class Fault {
@@ -48,8 +50,12 @@
     std::size_t engines = 6;
     double requestsPerSecond = 200;
     double deadlyFraction = 0.05;
+    Duration answerTime = 100ms;
+    /** Time after which a deadly request crashes its engine. */
+    Duration deadlyTime = 50ms;
     /** Every so often half of the engines crash, and each gateway is killed with the same probability. */
     Duration disruptionInterval = 1h;
+    bool areGatewaysKilled = true;
 };
 
 class CrashFleet
@@ -102,6 +108,12 @@
         return deadlyCrashes_.size();
     }
 
+    /** Fraction of the requests without the deadly part that were refused because of another one. */
+    double refusedSoundFraction() const
+    {
+        return soundRequests_ == 0 ? 0 : static_cast<double>(refusedSound_) / static_cast<double>(soundRequests_);
+    }
+
     std::size_t reportsWritten() const
     {
         return reportsWritten_;
@@ -115,6 +127,7 @@
         std::vector<PromptPart> parts;
         TimePoint sentAt;
         bool isDeadly = false;
+        AnswerProgress progress;
     };
     struct Engine
     {
@@ -187,7 +200,13 @@
             run.parts = drawPrompt(run.isDeadly);
             run.sentAt = now_;
             Engine &engine = engines_[drawBelow(engines_.size())];
-            if (engine.upAt > now_ || gateways_[run.gateway].evidence->blockedFor(Service, run.parts, now_)) {
+            if (engine.upAt > now_) {
+                continue;
+            }
+            const bool isRefused = gateways_[run.gateway].evidence->blockedFor(Service, run.parts, now_).has_value();
+            soundRequests_ += run.isDeadly ? 0 : 1;
+            refusedSound_ += isRefused && !run.isDeadly ? 1 : 0;
+            if (isRefused) {
                 continue;
             }
             lateArrivals_ += run.isDeadly && isLate(gateways_[run.gateway]) ? 1 : 0;
@@ -206,19 +225,19 @@
     {
         for (Engine &engine : engines_) {
             const bool ends = std::any_of(engine.runs.begin(), engine.runs.end(), [this](const Run &run) {
-                return run.isDeadly && now_ - run.sentAt >= AnswerTime / 2;
+                return run.isDeadly && now_ - run.sentAt >= load_.deadlyTime;
             });
             if (ends) {
                 deadlyCrashes_.push_back(now_);
                 crash(engine);
                 continue;
             }
-            std::erase_if(engine.runs, [this](const Run &run) {
-                if (now_ - run.sentAt < AnswerTime) {
-                    return false;
+            std::erase_if(engine.runs, [this](Run &run) {
+                const bool isWhole = now_ - run.sentAt >= load_.answerTime;
+                if (run.progress.onPiece(now_) || isWhole) {
+                    onAnswered(run);
                 }
-                onAnswered(run);
-                return true;
+                return isWhole;
             });
         }
     }
@@ -258,7 +277,7 @@
             }
         }
         for (std::size_t i = 0; i < gateways_.size(); ++i) {
-            if (draw(0.2)) {
+            if (load_.areGatewaysKilled && draw(0.2)) {
                 gateways_[i] = newGateway(i);
             }
         }
@@ -336,6 +355,8 @@
     std::map<std::pair<std::uint64_t, std::string>, TimePoint> wronglyBlockedSince_;
     int lateArrivals_ = 0;
     int wronglyBlocked_ = 0;
+    int soundRequests_ = 0;
+    int refusedSound_ = 0;
 };
 
 /** From a few to hundreds of gateways. */
@@ -377,6 +398,50 @@
     EXPECT_EQ(fleet.wronglyBlocked(), 0);
 }
 
+/** Answers take seconds, and engines crash in the middle of them. */
+class CrashInLongAnswersTest : public CrashFleetTest
+{
+};
+
+// Guards against the same where each crash comes as late in an answer as it may without having proved anything.
+TEST_P(CrashInLongAnswersTest, PartCrashesEngines_AfterFifthCrashAndReports_FewRequestsReachEngines)
+{
+    for (const double fraction : {0.01, 0.05, 0.3}) {
+        Load load = loadOf(GetParam());
+        load.deadlyFraction = 0;
+        load.answerTime = 8s;
+        load.deadlyTime = 1500ms;
+        CrashFleet fleet(load, GetParam());
+        fleet.run(4s);
+        fleet.setDeadlyFraction(fraction);
+        fleet.run(30s);
+        EXPECT_GT(fleet.deadlyCrashes(), 2U) << fraction;
+        EXPECT_LE(fleet.lateArrivals(), AllowedArrivals) << fraction;
+        EXPECT_EQ(fleet.wronglyBlocked(), 0) << fraction;
+        EXPECT_LE(fleet.refusedSoundFraction(), MaxRefusedSound) << fraction;
+    }
+}
+
+// Guards against sound parts that are blamed for other crashes because their long answers are never completed. What a gateway has seen may
+// end with it.
+TEST_P(CrashInLongAnswersTest, HalfOfTheEnginesCrashAgainAndAgain_NoAnsweredPartIsBlockedWhileItsGatewayLives)
+{
+    for (const bool areGatewaysKilled : {false, true}) {
+        Load load = loadOf(GetParam());
+        load.deadlyFraction = 0;
+        load.answerTime = 20s;
+        load.disruptionInterval = 4s;
+        load.areGatewaysKilled = areGatewaysKilled;
+        CrashFleet fleet(load, GetParam());
+        fleet.run(40s);
+        EXPECT_LE(fleet.refusedSoundFraction(), MaxRefusedSound);
+        if (!areGatewaysKilled) {
+            EXPECT_EQ(fleet.wronglyBlocked(), 0);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Gateways, CrashInLongAnswersTest, testing::Values(1, 5, 30));
 INSTANTIATE_TEST_SUITE_P(Gateways, CrashFleetTest, testing::Values(1, 5, 30, 103));
 
 RC_GTEST_PROP(CrashFleet, AnyMixOfCrashes_DeadlyPartIsStoppedAndAnsweredPartsAreNot, ())
--- a/tests/serving/endpointdirectory_test.cpp
+++ b/tests/serving/endpointdirectory_test.cpp
@@ -46,6 +46,22 @@
     EXPECT_FALSE(directory_.isUsable(leaving, now_));
 }
 
+// Guards against planned ends of endpoints that count as crashes, and against crashes that count as planned.
+TEST_F(EndpointDirectoryTest, RunsEnd_ThoseThatDrainOrLeft_AreLeavingAndACrashedOneIsNot)
+{
+    EndpointRecord draining = record("draining");
+    draining.draining = true;
+    directory_.onRegistered(draining);
+    directory_.onRegistered(record("gone"));
+    directory_.onEntriesMissing({"gone"}, now_);
+    directory_.onRegistered(record("crashed"));
+    EXPECT_TRUE(directory_.isLeaving(draining));
+    EXPECT_TRUE(directory_.isLeaving(record("gone")));
+    EXPECT_FALSE(directory_.isLeaving(record("crashed")));
+    directory_.onRegistered(record("crashed", 2));
+    EXPECT_FALSE(directory_.isLeaving(record("crashed", 1)));
+}
+
 // Guards against requests to an endpoint that said it is leaving only in its answers.
 TEST_F(EndpointDirectoryTest, EndpointStatesInAnswerThatItLeaves_EntryStaysReady_IsNotUsableUntilItsNextRun)
 {
