RouteCatalogue: a configuration with a list of customers requires keys, however the list looks

Cause: whether keys are needed was taken from whether any customer had been decoded, so that a list which is empty, null, of another type or unreadable opened all routes. Ruled out: an older configuration that stays in force (then the withdrawn key alone would have been served).

Change: the catalogue has a typed KeyRequirement, decoded once from whether the configuration contains the field.

--- a/src/libroutes/routecatalogue.cpp
+++ b/src/libroutes/routecatalogue.cpp
@@ -60,7 +60,7 @@
 
 bool RouteCatalogue::needsKeys() const
 {
-    return !data_.customers.empty();
+    return data_.keyRequirement == KeyRequirement::Required;
 }
 
 bool RouteCatalogue::hasQuotas() const
--- a/src/libroutes/routecatalogue.h
+++ b/src/libroutes/routecatalogue.h
@@ -122,11 +122,20 @@
     Milliseconds idleTimeout{15000};
 };
 
+/** Whether callers need an API key on routes that are not anonymous. */
+enum class KeyRequirement {
+    /** The configuration has no list of customers at all. */
+    None,
+    /** It has one, which may be empty, or of which nothing may be readable: then no key is good. */
+    Required,
+};
+
 struct RouteCatalogueData
 {
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<RoutedService> services;
+    KeyRequirement keyRequirement = KeyRequirement::None;
     std::vector<CustomerQuota> customers;
     /** From an API key to the index of its customer in customers. */
     std::unordered_map<std::string, std::size_t> customerIndexByKey;
--- a/tests/processes/usersplatformfixture.h
+++ b/tests/processes/usersplatformfixture.h
@@ -74,6 +74,12 @@
     }
 
     void putConfiguration(int version, const std::vector<std::string> &keys, int ratePerSecond = 1000, int burst = 1000)
+    {
+        putRow("op", "config", configurationOf(version, keys, ratePerSecond, burst));
+    }
+
+    /** A route that needs a key and one that doesn't, and one customer with these keys. */
+    static nlohmann::json configurationOf(int version, const std::vector<std::string> &keys, int ratePerSecond = 1000, int burst = 1000)
     {
         const auto route = [](const char *prefix, bool anonymous) {
             return nlohmann::json{{"name", prefix},
@@ -86,13 +92,11 @@
                                   {"max_attempts", 1},
                                   {"anonymous", anonymous}};
         };
-        putRow("op",
-               "config",
-               {{"version", version},
+        return {{"version", version},
                 {"routes", {route("/orders/", false), route("/open/", true)}},
                 {"services", {{{"name", "orders"}, {"health_path", "/healthz"}, {"max_connections", 50}}}},
                 {"limits", nlohmann::json::object()},
-                {"tenants", {{{"name", "desk"}, {"api_keys", keys}, {"rate_per_s", ratePerSecond}, {"burst", burst}}}}});
+                {"tenants", {{{"name", "desk"}, {"api_keys", keys}, {"rate_per_s", ratePerSecond}, {"burst", burst}}}}};
     }
 
     /** A route that needs no key, and the service behind it. */
