BufferedSocket: the first error of a connection decides how its end is reported

Callers saw: a part of an answer as a complete one, where an endpoint answers a long upload with a success that has no length and resets the connection while the upload is being written (10 of 10 uploads of 4 MB; the same for failures without a length and for streams).

Cause: the kernel gives a connection's error to one call only. The failed write took it, and the read after it found the end of the stream, as after an orderly close. Ruled out: the parser completes such an answer on any end.

Change: the socket remembers the first error that any call on it gets and reports every later end as that; a broken pipe means that the peer had ended its direction before. On connections to endpoints, what was received before a failed write is read to its end first, and a connection that has failed isn't used again.

--- a/src/libproxy/bufferedsocket.cpp
+++ b/src/libproxy/bufferedsocket.cpp
@@ -27,6 +27,12 @@
     return buffer;
 }
 
+/** Whether the connection is over with the error, so that a read comes to its end too. */
+bool endsConnection(const std::error_code &error)
+{
+    return error == asio::error::connection_reset || error == asio::error::broken_pipe || error == asio::error::timed_out;
+}
+
 void setOption(int descriptor, int level, int name, int value)
 {
     // Errors are ignored: the connection also works without the option, on a kernel that lacks it.
@@ -88,9 +94,13 @@
     std::error_code error;
     const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
     const bool isEmpty = error == asio::error::would_block || error == asio::error::try_again;
+    if (error == asio::error::eof) {
+        reportEnd(failure_.value_or(DisconnectReason::Closed));
+        return;
+    }
     if (error && !isEmpty) {
-        const auto onDisconnected = handlers_.onDisconnected;
-        onDisconnected(error == asio::error::eof ? DisconnectReason::Closed : DisconnectReason::Broken);
+        rememberFailure(error);
+        reportEnd(DisconnectReason::Broken);
         return;
     }
     if (!isEmpty) {
@@ -107,6 +117,9 @@
     char byte = 0;
     const auto size = ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
     const bool isPending = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    if (size < 0 && !isPending) {
+        rememberFailure({errno, std::system_category()});
+    }
     return size == 0 || (size < 0 && !isPending);
 }
 
@@ -131,7 +144,7 @@
     if (error == asio::error::would_block || error == asio::error::try_again) {
         written = 0;
     } else if (error) {
-        onWriteFailed();
+        onWriteFailed(error);
         return;
     }
     output_.assign(bytes.substr(written));
@@ -160,7 +173,7 @@
     std::error_code error;
     const std::size_t written = socket_.write_some(asio::buffer(output_), error);
     if (error && error != asio::error::would_block && error != asio::error::try_again) {
-        onWriteFailed();
+        onWriteFailed(error);
         return;
     }
     output_.erase(0, error ? 0 : written);
@@ -191,19 +204,39 @@
     }
 }
 
-void BufferedSocket::onWriteFailed()
+void BufferedSocket::onWriteFailed(const std::error_code &error)
 {
-    // The failure is reported from the event loop, so that the handler isn't called from inside the owner's call of write().
+    rememberFailure(error);
     output_.clear();
     finishing_ = true;
+    if (handlers_.readsRestAfterFailedWrite && endsConnection(error)) {
+        awaitReadable();
+        return;
+    }
+    // The failure is reported from the event loop, so that the handler isn't called from inside the owner's call of write().
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
         if (self->open_ && self->handlers_.onDisconnected) {
-            const auto onDisconnected = self->handlers_.onDisconnected;
-            onDisconnected(DisconnectReason::Broken);
+            self->reportEnd(DisconnectReason::Broken);
         }
     });
 }
 
+void BufferedSocket::rememberFailure(const std::error_code &error)
+{
+    if (failure_) {
+        return;
+    }
+    // A connection that is reset after the peer has ended its direction fails with a broken pipe: what was received is whole.
+    failure_ = error == asio::error::broken_pipe ? DisconnectReason::Closed : DisconnectReason::Broken;
+}
+
+void BufferedSocket::reportEnd(DisconnectReason reason)
+{
+    // The handler may release the handlers.
+    const auto onDisconnected = handlers_.onDisconnected;
+    onDisconnected(reason);
+}
+
 void BufferedSocket::close()
 {
     if (!open_) {
--- a/src/libproxy/bufferedsocket.h
+++ b/src/libproxy/bufferedsocket.h
@@ -1,6 +1,7 @@
 /**
  * A non-blocking TCP connection on the event loop. It reads when the socket is readable, writes as much as the kernel accepts and buffers
  * the rest until the socket is writable. All connections of a thread share one read buffer, so an idle connection needs no buffer memory.
+ * The kernel reports the failure of a connection to one call only, a read, a write or another one; it is remembered here for all of them.
  */
 #pragma once
 
@@ -11,8 +12,10 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 namespace Chestnutcove {
 
@@ -33,6 +36,8 @@
         std::function<void(DisconnectReason)> onDisconnected;
         /** The write buffer, which held unsent bytes, has become empty. */
         std::function<void()> onDrained;
+        /** After a failed write, what the peer sent before is read first; else the end of the connection is reported at once. */
+        bool readsRestAfterFailedWrite = false;
     };
 
     /** @param ackTimeout the kernel breaks the connection when sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT). */
@@ -54,6 +59,8 @@
     /** Closes with a TCP reset, so that the peer can't take a partial message for a complete one. */
     void reset();
     bool isOpen() const;
+    /** Whether the connection has failed, also if its end was not reported yet. */
+    bool hasFailed() const;
     /**
      * Whether the peer has closed or reset the connection, also if that hasn't been read yet. Unread bytes hide it.
      * Costs a system call.
@@ -66,11 +73,15 @@
     void readAvailable();
     void awaitWritable();
     void flush();
-    void onWriteFailed();
+    void onWriteFailed(const std::error_code &error);
+    void rememberFailure(const std::error_code &error);
+    void reportEnd(DisconnectReason reason);
 
     asio::ip::tcp::socket socket_;
     Handlers handlers_;
     std::string output_;
+    /** How the connection ended, as the first call that failed was told; not set before, nor by an orderly end. */
+    std::optional<DisconnectReason> failure_;
     bool readWaitActive_ = false;
     bool readPaused_ = false;
     bool writeWaitActive_ = false;
@@ -93,4 +104,9 @@
     return open_;
 }
 
+inline bool BufferedSocket::hasFailed() const
+{
+    return failure_.has_value();
+}
+
 }
--- a/src/libproxy/endpointconnection.cpp
+++ b/src/libproxy/endpointconnection.cpp
@@ -55,6 +55,8 @@
     BufferedSocket::Handlers handlers;
     handlers.onBytes = [self = shared_from_this()](std::string_view bytes) { self->onBytes(bytes); };
     handlers.onDisconnected = [self = shared_from_this()](DisconnectReason reason) { self->onDisconnected(reason); };
+    // An endpoint may answer before it has read the whole request.
+    handlers.readsRestAfterFailedWrite = true;
     socket_->start(std::move(handlers));
 }
 
@@ -144,7 +146,7 @@
             continue;
         }
         // Bytes after a complete response belong to no call, so the connection isn't reused. Nor is it while request bytes are unsent.
-        reusable_ = reusable_ && parser_.keepsAlive() && bytes.empty() && socket_->pendingBytes() == 0;
+        reusable_ = reusable_ && parser_.keepsAlive() && bytes.empty() && socket_->pendingBytes() == 0 && !socket_->hasFailed();
         finish(CallOutcome::Complete);
         return;
     }
--- a/tests/proxy/endpointcalls_test.cpp
+++ b/tests/proxy/endpointcalls_test.cpp
@@ -206,6 +206,18 @@
     EXPECT_EQ(endpoint_.connections, 2);
 }
 
+// Guards against an answer with a status that doesn't exist, which a caller would get as one (MIXED).
+TEST_F(EndpointCallsTest, StatusIsNone_Call_GetsNoAnswer)
+{
+    for (const char *status : {"000", "000 OK", "099 Low", "20", "2000 Long", "-10 Odd"}) {
+        for (const char *framing : {"\r\n\r\n", "\r\nContent-Length: 4\r\n\r\n"}) {
+            const auto answer = callWith(std::string("HTTP/1.1 ") + status + framing + "done", Script::AfterResponse::Close);
+            EXPECT_NE(answer.end, CallOutcome::Complete) << status << framing;
+            EXPECT_EQ(answer.status, 0) << status << framing;
+        }
+    }
+}
+
 TEST_F(EndpointCallsTest, NoListener_Call_IsNotSent)
 {
     EndpointRecord record;
