Crash evidence: a gateway that starts believes reports that the others have had time to answer

Cause: a block begins a second after its crashes are known, so that the others can say that they have seen the part answered; a gateway that starts waited as well, though their word stands in the rows that it reads at the same time. Ruled out: it serves before it has read them.

Change: reports that are read with the whole table count as known for that second.

--- a/src/chestnutcove/crashevidenceexchange.cpp
+++ b/src/chestnutcove/crashevidenceexchange.cpp
@@ -41,12 +41,18 @@
     if (!rows.contains(row_.key())) {
         storedReport_ = {};
     }
+    // What the others have to say to the reports is in the same rows, so that a gateway which has just started doesn't wait for it.
     for (const auto &[key, row] : rows) {
-        onRowChanged(key, row.value, row.version);
+        mergeRow(key, row.value, row.version, options_.blockDelay);
     }
 }
 
 void CrashEvidenceExchange::onRowChanged(const std::string &key, const std::string &value, std::uint64_t version)
+{
+    mergeRow(key, value, version, Duration::zero());
+}
+
+void CrashEvidenceExchange::mergeRow(const std::string &key, const std::string &value, std::uint64_t version, Duration age)
 {
     if (!key.starts_with(rowPrefix_)) {
         return;
@@ -68,9 +74,9 @@
         return;
     }
     if (isOwn) {
-        evidence_.onOwnReport(*report, now);
+        evidence_.onOwnReport(*report, now, age);
     } else {
-        evidence_.onReport(*report, now);
+        evidence_.onReport(*report, now, age);
     }
     logBlocked();
 }
--- a/src/chestnutcove/crashevidenceexchange.h
+++ b/src/chestnutcove/crashevidenceexchange.h
@@ -46,6 +46,8 @@
     void tick(TimePoint now);
 
 private:
+    /** @param age see CrashEvidence::onReport(). */
+    void mergeRow(const std::string &key, const std::string &value, std::uint64_t version, Duration age);
     void writeReport(const CrashReport &report);
 
     std::string rowPrefix_;
--- a/src/libserving/crashevidence.cpp
+++ b/src/libserving/crashevidence.cpp
@@ -102,7 +102,7 @@
         Suspicion &suspicion = suspicionOf(key);
         const bool isOnlySuspect = suspects <= 1;
         const bool isNextRound = suspicion.round == 0 || (sentAt > suspicion.roundLearnedAt && isOnlySuspect);
-        addCrash(suspicion, run, suspicion.round + (isNextRound ? 1 : 0), now);
+        addCrash(suspicion, run, suspicion.round + (isNextRound ? 1 : 0), now, Duration::zero());
         suspicion.lastCrashAt = now;
         if (suspicion.crashes.contains(run)) {
             suspicion.ownRuns.insert(run);
@@ -135,7 +135,7 @@
     return true;
 }
 
-void CrashEvidence::addCrash(Suspicion &suspicion, const std::string &run, unsigned round, TimePoint now) const
+void CrashEvidence::addCrash(Suspicion &suspicion, const std::string &run, unsigned round, TimePoint now, Duration age) const
 {
     if (!makeRoom(suspicion, run, round)) {
         return;
@@ -151,16 +151,16 @@
         suspicion.roundLearnedAt = now;
     }
     if (suspicion.crashes.size() >= options_.crashesToBlock && !suspicion.sufficientSince) {
-        suspicion.sufficientSince = now;
+        suspicion.sufficientSince = now - age;
     }
 }
 
-void CrashEvidence::onReport(const CrashReport &report, TimePoint now)
+void CrashEvidence::onReport(const CrashReport &report, TimePoint now, Duration age)
 {
     for (const auto &[key, crashes] : report.crashes) {
         Suspicion &suspicion = suspicionOf(key);
         for (const auto &[run, round] : crashes) {
-            addCrash(suspicion, run, round, now);
+            addCrash(suspicion, run, round, now, age);
         }
     }
     for (const std::string &key : report.cleared) {
@@ -174,9 +174,9 @@
     updateClears();
 }
 
-void CrashEvidence::onOwnReport(const CrashReport &report, TimePoint now)
+void CrashEvidence::onOwnReport(const CrashReport &report, TimePoint now, Duration age)
 {
-    onReport(report, now);
+    onReport(report, now, age);
     for (const auto &[key, crashes] : report.crashes) {
         Suspicion &suspicion = suspicionOf(key);
         for (const auto &[run, round] : crashes) {
--- a/src/libserving/crashevidence.h
+++ b/src/libserving/crashevidence.h
@@ -89,10 +89,13 @@
     /** A run of an endpoint crashed before it had answered the prompt, which was sent at @p sentAt. */
     void
     onCrashed(const std::string &run, const std::string &service, const std::vector<PromptPart> &parts, TimePoint sentAt, TimePoint now);
-    /** Merges the report of another gateway. */
-    void onReport(const CrashReport &report, TimePoint now);
+    /**
+     * Merges the report of another gateway. @param age since when the others have known it at least; those who have seen its parts answered
+     * say so within the blockDelay.
+     */
+    void onReport(const CrashReport &report, TimePoint now, Duration age = Duration::zero());
     /** Takes over what this gateway reported before it was restarted. */
-    void onOwnReport(const CrashReport &report, TimePoint now);
+    void onOwnReport(const CrashReport &report, TimePoint now, Duration age = Duration::zero());
 
     /** For how long requests with the prompt are refused; nothing if this one may be sent. */
     std::optional<Duration> blockedFor(const std::string &service, const std::vector<PromptPart> &parts, TimePoint now);
@@ -131,7 +134,8 @@
      * is reported again. @return false if that is the one to be added.
      */
     static bool makeRoom(Suspicion &suspicion, const std::string &run, unsigned round);
-    void addCrash(Suspicion &suspicion, const std::string &run, unsigned round, TimePoint now) const;
+    /** @param age of the report that tells of the crash. */
+    void addCrash(Suspicion &suspicion, const std::string &run, unsigned round, TimePoint now, Duration age) const;
     /** The suspicion of a part, which begins if there is none. */
     Suspicion &suspicionOf(const std::string &key);
     bool isBlocked(const Suspicion &suspicion, TimePoint now) const;
--- a/tests/processes/deadlystream_test.cpp
+++ b/tests/processes/deadlystream_test.cpp
@@ -58,12 +58,16 @@
     /** Sends a prompt with the part to one gateway after the other. @return the status that the caller gets. */
     int send(const std::string &part)
     {
-        const std::string number = std::to_string(++sent_);
-        const bool toSecond = sent_ % 2 == 0;
+        const bool toSecond = ++sent_ % 2 == 0;
+        return sendTo(toSecond ? *second_ : *gateway_, toSecond ? secondIp_ : ip_, part);
+    }
+
+    int sendTo(TestProcess &gateway, const std::string &ip, const std::string &part)
+    {
+        const std::string number = std::to_string(++lastNumber_);
         TestRequest call;
         call.method = "POST";
-        call.url = "http://" + (toSecond ? secondIp_ : ip_) + ':' + std::to_string((toSecond ? *second_ : *gateway_).port("callers"))
-            + "/model/1";
+        call.url = "http://" + ip + ':' + std::to_string(gateway.port("callers")) + "/model/1";
         call.body = number;
         call.headers = {{"Host", "shop.example"},
                         {"Attempt-Id", "a" + number},
@@ -95,6 +99,7 @@
     std::string secondIp_;
     std::unique_ptr<TestProcess> second_;
     std::atomic<int> sent_ = 0;
+    std::atomic<int> lastNumber_ = 0;
 
 private:
     int sum(int (CrashingEngine::*figure)() const) const
@@ -152,6 +157,35 @@
                                          CrashPoint{"FirstEventWithoutFraming", {.events = 1, .gap = 10ms, .endsWithConnection = true}}),
                          [](const auto &point) { return std::string(point.param.name); });
 
+class StartedGatewayTest : public DeadlyStreamTest
+{
+protected:
+    StartedGatewayTest()
+        : DeadlyStreamTest({.events = 1, .gap = 10ms})
+    {
+    }
+};
+
+// Guards against engines that are crashed once more through each gateway that starts, until it believes what the others have reported.
+TEST_F(StartedGatewayTest, PartCrashedFiveEngines_GatewayStarts_RequestsWithItReachFewEngines)
+{
+    waitUntilServed();
+    ASSERT_TRUE(waitUntil([&] {
+        send(DeadlyPart);
+        return crashes() >= CrashesKnown;
+    }));
+    std::this_thread::sleep_for(ReportTime);
+    const std::string ip = loopbackAddress("127.80.");
+    const auto started = startGateway("entry-3", ip);
+    ASSERT_TRUE(waitUntil([&] { return sendTo(*started, ip, "5e01") == 200; }));
+    const int before = deadlyArrivals();
+    for (int i = 0; i < 2 * Engines; ++i) {
+        sendTo(*started, ip, DeadlyPart);
+        std::this_thread::sleep_for(80ms);
+    }
+    EXPECT_LE(deadlyArrivals() - before, AllowedArrivals);
+}
+
 class ResetStreamTest : public DeadlyStreamTest
 {
 protected:
--- a/tests/processes/testprocess.cpp
+++ b/tests/processes/testprocess.cpp
@@ -76,6 +76,8 @@
     if (!verbose) {
         posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
     }
+    // The process would keep listening on the ports of stand-ins that run in this one.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int result = posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     close(out[1]);
--- a/tests/serving/crashfleet_test.cpp
+++ b/tests/serving/crashfleet_test.cpp
@@ -139,7 +139,6 @@
     {
         std::unique_ptr<CrashEvidence> evidence;
         std::uint64_t incarnation = 0;
-        TimePoint startedAt{};
         TimePoint nextWriteAt{};
         /** Reports that are on their way to it. */
         std::vector<std::pair<TimePoint, CrashReport>> inbox;
@@ -166,12 +165,11 @@
         Gateway gateway;
         gateway.evidence = std::make_unique<CrashEvidence>(options, [index](const std::string &) { return index == 0; });
         gateway.incarnation = ++lastIncarnation_;
-        gateway.startedAt = now_;
         for (std::size_t i = 0; i < stored_.size() && fault_ != Fault::ReportsNotRead; ++i) {
             if (i == index) {
-                gateway.evidence->onOwnReport(stored_[i], now_);
+                gateway.evidence->onOwnReport(stored_[i], now_, options.blockDelay);
             } else {
-                gateway.evidence->onReport(stored_[i], now_);
+                gateway.evidence->onReport(stored_[i], now_, options.blockDelay);
             }
         }
         return gateway;
@@ -209,16 +207,15 @@
             if (isRefused) {
                 continue;
             }
-            lateArrivals_ += run.isDeadly && isLate(gateways_[run.gateway]) ? 1 : 0;
+            lateArrivals_ += run.isDeadly && isLate() ? 1 : 0;
             engine.runs.push_back(std::move(run));
         }
     }
 
-    /** Whether the gateway should know the part; one that was just started is excused. */
-    bool isLate(const Gateway &gateway) const
+    /** Whether all gateways should know the part, also one that was just started. */
+    bool isLate() const
     {
-        return deadlyCrashes_.size() >= CrashesKnown && now_ > deadlyCrashes_[CrashesKnown - 1] + ReportBound
-            && now_ - gateway.startedAt > ReportBound;
+        return deadlyCrashes_.size() >= CrashesKnown && now_ > deadlyCrashes_[CrashesKnown - 1] + ReportBound;
     }
 
     void endRuns()
--- a/tests/serving/crashingrequests_test.cpp
+++ b/tests/serving/crashingrequests_test.cpp
@@ -145,16 +145,16 @@
 
     Gateway newGateway(std::size_t index)
     {
+        const CrashEvidenceOptions options = CrashEvidenceOptions::forWholeRequests();
         Gateway gateway;
-        gateway.evidence = std::make_unique<CrashEvidence>(CrashEvidenceOptions::forWholeRequests(),
-                                                           [index](const std::string &) { return index == 0; });
+        gateway.evidence = std::make_unique<CrashEvidence>(options, [index](const std::string &) { return index == 0; });
         gateway.incarnation = ++lastIncarnation_;
         gateway.startedAt = now_;
         for (std::size_t i = 0; i < stored_.size() && load_.areReportsRead; ++i) {
             if (i == index) {
-                gateway.evidence->onOwnReport(stored_[i], now_);
+                gateway.evidence->onOwnReport(stored_[i], now_, options.blockDelay);
             } else {
-                gateway.evidence->onReport(stored_[i], now_);
+                gateway.evidence->onReport(stored_[i], now_, options.blockDelay);
             }
         }
         return gateway;
--- a/tests/standins/crashingengine.h
+++ b/tests/standins/crashingengine.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <sys/socket.h>
 #include <utility>
 
 namespace Chestnutcove {
@@ -47,10 +48,13 @@
         : deadlyText_(std::move(deadlyText))
         , restartTime_(restartTime)
         , deadlyAnswer_(answer)
-        , acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , address_(acceptor_.local_endpoint())
+        , acceptor_(context, asio::ip::tcp::v4())
         , restartTimer_(context)
     {
+        acceptor_.set_option(ReusePort(true));
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen();
+        address_ = acceptor_.local_endpoint();
         accept();
     }
 
@@ -72,6 +76,8 @@
     }
 
 private:
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
     struct Peer
     {
         explicit Peer(asio::ip::tcp::socket accepted)
@@ -183,20 +189,26 @@
             std::error_code ignored;
             peer->socket.close(ignored);
         }
-        acceptor_.close();
+        refuseConnections();
         restartTimer_.expires_after(restartTime_);
         restartTimer_.async_wait([this](const std::error_code &error) {
             if (error) {
                 return;
             }
-            acceptor_.open(address_.protocol());
-            acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-            acceptor_.bind(address_);
             acceptor_.listen();
             accept();
         });
     }
 
+    /** The port stays bound, so that nobody else gets it meanwhile. */
+    void refuseConnections()
+    {
+        asio::ip::tcp::acceptor bound(restartTimer_.get_executor(), address_.protocol());
+        bound.set_option(ReusePort(true));
+        bound.bind(address_);
+        acceptor_ = std::move(bound);
+    }
+
     std::string deadlyText_;
     std::chrono::milliseconds restartTime_;
     DeadlyAnswer deadlyAnswer_;
