--- a/tests/processes/oddanswers_test.cpp
+++ b/tests/processes/oddanswers_test.cpp
@@ -73,13 +73,18 @@
 
 TEST_F(OddAnswersTest, RefusalWithoutIdOnANewConnection_Request_IsRefusedAsNotRun)
 {
-    first_.lastScript = {Refusal, Script::AfterResponse::Close};
+    // Without its announcement the end of the connection could come after the next request.
+    first_.lastScript
+        = {"HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", Script::AfterResponse::Close};
     putRoute("non_idempotent", false, {&first_});
     ASSERT_TRUE(waitUntil([&] {
         send("a1");
         return first_.requests > 0;
     }));
-    EXPECT_TRUE(send("a2").starts_with("HTTP/1.1 503"));
+    const int before = first_.connections;
+    const std::string answer = send("a2");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_GT(first_.connections, before);
 }
 
 // Guards against an error's text, or the end of a complete answer, inside a stream that has begun.
