Review 3, case 14: ids of prompt parts that are kept take more memory than the machine has

Cause: PlacementPolicy::recordPrefill() keeps the ids of 4,096 parts for each prefill server, twice, whatever their length.

The former case 14 (many prompt parts) is case 15 now, since it needs a crowd.

--- a/review/standins-3/cases.h
+++ b/review/standins-3/cases.h
@@ -13,7 +13,9 @@
 int fullLogPipe(const Surroundings &surroundings);
 /** Case 13: requests of ordinary callers are cut off while a crowd uploads bodies of legal size. */
 int cutOffCallers(const Surroundings &surroundings);
-/** Case 14: requests of legal size with very many prompt parts take more memory than the machine has. */
+/** Case 15: requests of legal size with very many prompt parts take more memory than the machine has. */
 int manyPromptParts(const Surroundings &surroundings);
+/** Case 14: what is kept of the prompts that engines have read takes more memory than the machine has. */
+int longPartIds(const Surroundings &surroundings);
 
 }
